--- /dev/null
+++ b/src/config/constants.hpp
@@ -0,0 +1,162 @@
+// Every constant of the project, with its unit and the reason for its value.
+// What a deployment may change comes from the settings file, not from here.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace elmstall::constants {
+
+// --- protocol limits -------------------------------------------------------
+/// Bytes. Largest request body, and largest response to workers and users.
+inline constexpr std::size_t kMaxBodyBytes = 64 * 1024;
+/// Bytes. Largest body taken from the state service or cloud: a page is 512
+/// KiB, but a watch has no size limit, so this only stops a runaway peer.
+inline constexpr std::size_t kMaxReplyBytes = 8 * 1024 * 1024;
+/// Bytes. Largest block of header fields taken from a client.
+inline constexpr std::size_t kMaxHeaderBytes = 8 * 1024;
+/// Levels. Deepest nesting of a message; the protocol needs four.
+inline constexpr std::size_t kMaxDepth = 16;
+/// Tasks. Most tasks of one job.
+inline constexpr std::uint64_t kMaxTasks = 100'000;
+/// Seconds. A worker drops the response to a report after this long.
+inline constexpr double kReportReplyLimit = 4.0;
+/// Machines per rental request, and names per deletion.
+inline constexpr int kMaxRentCount = 50;
+inline constexpr std::size_t kMaxReleaseNames = 100;
+/// Entries per page asked of the state service and of the cloud list.
+inline constexpr int kStatePage = 1000;
+inline constexpr int kCloudPage = 500;
+/// Bytes. Largest transaction; kept below the 64 KiB of the protocol.
+inline constexpr std::size_t kMaxTxnBytes = 48 * 1024;
+
+// --- network ---------------------------------------------------------------
+/// Seconds. A connection that stays silent this long while a request is half
+/// sent is closed; users give up after 5 s.
+inline constexpr double kRequestReadTimeout = 6.0;
+/// Seconds. An idle kept-alive connection; users poll every 5 s.
+inline constexpr double kIdleTimeout = 60.0;
+/// Share of the socket limit that inbound connections may take; the rest is
+/// for the state service, cloud, workers, peers.
+inline constexpr double kInboundSocketShare = 0.7;
+/// Seconds. Longest wait for an answer of the state service: users wait 5 s
+/// for a submission, which leaves room for a read-back and a second try.
+inline constexpr double kStateTimeout = 1.5;
+/// Seconds. Longest wait for an answer of the cloud.
+inline constexpr double kCloudTimeout = 8.0;
+/// Seconds. How long a watch is held open by the state service.
+inline constexpr double kWatchHold = 10.0;
+/// Seconds. Grace on top of the hold before a watch counts as lost.
+inline constexpr double kWatchGrace = 2.0;
+
+// --- leadership ------------------------------------------------------------
+/// Seconds. Life of the state lease on `lead`. Short, because a worker's
+/// lease may be 10 s and must be renewed by the next leader in time; long
+/// enough for several renewals to get lost.
+inline constexpr double kLeadLease = 3.0;
+/// Seconds. Interval of lease renewals and of term confirmations.
+inline constexpr double kRenewEvery = 0.8;
+/// Seconds. Spread of the moment at which followers stand for leadership.
+inline constexpr double kElectionJitter = 0.25;
+/// Seconds. Rounding, scheduling delay and reply limit taken off W.
+inline constexpr double kAuthorityMargin = 5.0;
+/// Ratio. Steady clocks drift apart by at most 0.05%; doubled here.
+inline constexpr double kDrift = 0.001;
+/// Seconds. Added to any wait for a lease to run out, for timer steps.
+inline constexpr double kLeaseMargin = 0.5;
+/// Bits of a token below the term, left for per-host fences.
+inline constexpr int kTokenFenceBits = 20;
+
+// --- mesh --------------------------------------------------------------------
+/// Seconds. Interval of heartbeats between controllers.
+inline constexpr double kBeatEvery = 1.0;
+/// Seconds. A peer not heard from for this long counts as unreachable.
+inline constexpr double kPeerSilence = 3.5;
+/// Bytes. Largest message between controllers.
+inline constexpr std::size_t kMaxMeshBytes = 256 * 1024;
+/// Seconds. A worker that comes back within this time after a redirect could
+/// not reach the leader; its report is then forwarded over the mesh.
+inline constexpr double kRedirectMemory = 12.0;
+/// Seconds. Longest wait for the leader's answer to a forwarded report.
+inline constexpr double kForwardTimeout = 3.0;
+
+// --- engine ------------------------------------------------------------------
+/// Seconds. Interval of the engine's periodic work.
+inline constexpr double kTick = 0.25;
+/// Seconds. Longest a report's answer is held for the commit that its orders
+/// wait for; far below the worker's 4 s.
+inline constexpr double kReportHold = 0.3;
+/// Seconds. Longest a user's request waits for proof or commit.
+inline constexpr double kUserDeadline = 4.0;
+/// Seconds. Longest a poll waits; users give up after 2 s.
+inline constexpr double kPollDeadline = 1.5;
+/// Seconds. What users are told to wait before trying again.
+inline constexpr int kRetryAfter = 1;
+/// Seconds. Pause before a watch is opened again, so that changes come in
+/// batches: each opened watch costs a request of the state service's rate.
+inline constexpr double kWatchPauseLeader = 0.02;
+inline constexpr double kWatchPauseFollower = 0.1;
+/// Seconds. Pause after the state service did not serve a request.
+inline constexpr double kStateRetry = 0.3;
+/// Seconds. A node proves at least this often that it reaches the state service.
+inline constexpr double kProbeEvery = 1.0;
+/// Seconds. Without the state service for this long a node calls itself
+/// unready, unless the others see the same; each removal by the balancer
+/// doubles its pause, so short troubles are sat out.
+inline constexpr double kUnreadyAfter = 4.0;
+/// Seconds. Pause before the machine types are asked for again.
+inline constexpr double kTypesRetry = 1.0;
+/// Jobs. Final states remembered in memory; older ones are read when asked.
+inline constexpr std::size_t kFinalCache = 20'000;
+/// Orders in one response, so that it stays far below 64 KiB.
+inline constexpr std::size_t kMaxOrders = 200;
+
+// --- overload ------------------------------------------------------------------
+/// Requests in progress: first limit, and the bounds it moves in.
+inline constexpr double kLimitStart = 64;
+inline constexpr double kLimitMin = 8;
+inline constexpr double kLimitMax = 400;
+/// Seconds. Times below this say nothing about load.
+inline constexpr double kLimitFloor = 0.02;
+/// Ratio of a request's time to the best one that is still no overload.
+inline constexpr double kLimitTolerance = 4.0;
+/// Ratio by which the best time is let go with every measurement.
+inline constexpr double kLimitForget = 1.002;
+
+// --- scheduling ----------------------------------------------------------------
+/// Tasks' worth of time by which z must exceed the mean before a list sends
+/// out its excess: the threshold of the paper (section IV-A).
+inline constexpr double kThresholdTasks = 10.0;
+/// Seconds. Run time assumed for a class before any estimate is known.
+inline constexpr double kDefaultTaskTime = 60.0;
+/// Weight of a new measurement in learned averages.
+inline constexpr double kLearnRate = 0.2;
+/// Tasks of one job that stand in lists at once; a job of 100,000 tasks gets
+/// its blocks as they are needed.
+inline constexpr std::size_t kWindowTasks = 256;
+/// Bytes of a block record that one task may take, as JSON.
+inline constexpr std::size_t kTaskRecordBytes = 40;
+/// Failures of different jobs after which a machine is quarantined.
+inline constexpr int kHostErrorLimit = 2;
+/// Machines on which a job's tasks fail before the job is blamed.
+inline constexpr int kJobErrorHosts = 3;
+/// Seconds. First pause before a failed task is tried again, and the longest.
+inline constexpr double kErrorBackoff = 2.0;
+inline constexpr double kErrorBackoffMax = 60.0;
+
+// --- fleet -----------------------------------------------------------------------
+/// Multiple of `ready_s` after which a machine that has not come up is given
+/// up; boots usually take up to 1.5 times that.
+inline constexpr double kBootGiveUp = 3.0;
+/// Seconds. Interval of fleet decisions and of reading the machine list.
+inline constexpr double kFleetEvery = 2.0;
+inline constexpr double kListEvery = 5.0;
+/// Seconds. The pause after `no capacity`, doubled up to the maximum.
+inline constexpr double kNoCapacityPause = 10.0;
+inline constexpr double kNoCapacityPauseMax = 40.0;
+/// Seconds. Shortest charged rental; a machine idle for longer than this
+/// share of it is returned.
+inline constexpr double kMinimumCharge = 60.0;
+inline constexpr double kIdleRelease = 25.0;
+
+}  // namespace elmstall::constants
--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,76 @@
+// The platform's settings file, and the operators' own properties.
+#pragma once
+
+#include <filesystem>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace elmstall::config {
+
+/// A settings file that can't be used. The text names file and key.
+class Invalid : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Peer {
+  std::string name;
+  std::string zone;
+  std::string endpoint;
+};
+
+/// Limits and guarantees of a team; 0 means none.
+struct Team {
+  std::string name;
+  double cpus = 0;
+  double cpus_max = 0;
+  double gpus = 0;
+  double gpus_max = 0;
+};
+
+/// What the users aim at for one class of jobs.
+struct Objective {
+  std::string kind;
+  std::string lane;
+  double within_s = 0;
+  double share = 0;
+};
+
+struct Settings {
+  std::string node;
+  std::string zone;
+  std::string api_addr;
+  std::string mesh_addr;
+  std::vector<Peer> peers;
+  std::string cloud_endpoint;
+  std::string state_endpoint;
+  std::vector<std::string> zones;
+  double skew_s = 0;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  double report_s = 0;
+  double lease_s = 0;
+  double cancel_s = 0;
+  double state_rps = 0;
+  double state_write_rps = 0;
+  double state_value_kb = 0;
+  int txn_ops = 0;
+  double cloud_rps = 0;
+  double list_lag_s = 0;
+  double cores = 0;
+  double memory_mb = 0;
+  int fd_limit = 0;
+
+  [[nodiscard]] const Team* team(const std::string& name) const;
+  /// Seconds. How long after the sending of its last confirmed state request
+  /// a leader may still answer reports, so that a cancellation it could not
+  /// hear of is honoured in time: renewals end by then, and the workers'
+  /// leases `lease_s` later.
+  [[nodiscard]] double authority_s() const;
+};
+
+/// Throws Invalid.
+[[nodiscard]] Settings load_settings(const std::filesystem::path& file);
+
+}  // namespace elmstall::config
--- /dev/null
+++ b/src/engine/fleet_keeper.cpp
@@ -0,0 +1,243 @@
+#include "engine/fleet_keeper.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "config/constants.hpp"
+
+namespace elmstall::engine {
+
+namespace k = constants;
+
+FleetKeeper::FleetKeeper(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, fleet::Cloud& cloud,
+                         Model& model, Estimates& estimates, std::uint64_t term, std::function<void(Host&)> gone)
+    : settings_(settings), runtime_(runtime), cloud_(cloud), model_(model), estimates_(estimates), term_(term), gone_(std::move(gone)), scope_(queue), started_(runtime.now()) {}
+
+void FleetKeeper::tick() {
+  const double now = runtime_.now();
+  if (!listing_ && now >= next_list_) {
+    listing_ = true;
+    listed_.clear();
+    read_list("");
+  }
+  if (now < next_plan_) return;
+  next_plan_ = now + k::kFleetEvery;
+  review_hosts(now);
+  plan(now);
+}
+
+void FleetKeeper::read_list(const std::string& since) {
+  const double started = runtime_.now();
+  cloud_.list(since, scope_.wrap([this, started](std::optional<wire::CloudPage> page) {
+    if (!page) {
+      listing_ = false;
+      next_list_ = runtime_.now() + k::kFleetEvery;
+      return;
+    }
+    listed_.insert(listed_.end(), page->hosts.begin(), page->hosts.end());
+    if (page->truncated && !page->hosts.empty()) return read_list(page->hosts.back().id);
+    finish_list(started);
+  }));
+}
+
+void FleetKeeper::finish_list(double started) {
+  listing_ = false;
+  ever_listed_ = true;
+  const double now = runtime_.now();
+  next_list_ = now + k::kListEvery;
+  for (auto& [id, host] : model_.hosts()) host->listed = false;
+  for (const auto& entry : listed_) {
+    const bool known = model_.find_host(entry.id) != nullptr;
+    auto& host = model_.host(entry.id);
+    if (host.type.empty()) model_.describe(host, entry.type, entry.zone, entry.spot, entry.addr);
+    if (!known) host.rented_at = now - entry.age_s;
+    host.listed = true;
+    host.listed_at = started;
+    if (entry.state == wire::CloudHost::State::failed && !host.listed_failed) {
+      // It stopped on its own: the one thing the late list proves.
+      host.listed_failed = true;
+      spdlog::info("host {} failed, as the cloud lists it", host.id);
+      gone_(host);
+    }
+  }
+}
+
+void FleetKeeper::release(Host& host) {
+  const double now = runtime_.now();
+  if (now - host.release_tried < k::kFleetEvery) return;
+  host.releasing = true;
+  host.release_tried = now;
+  cloud_.release({host.id}, scope_.wrap([this, id = host.id](bool ok) {
+    auto* found = model_.find_host(id);
+    if (found == nullptr || !ok) return;  // review_hosts tries again
+    spdlog::info("host {} returned", id);
+    gone_(*found);
+    found->heard = found->synced = false;
+    model_.remove_host(id);
+  }));
+}
+
+void FleetKeeper::review_hosts(double now) {
+  const double lease = settings_.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
+  std::vector<Host*> silent;
+  std::size_t heard = 0;
+  for (auto& [id, slot] : model_.hosts()) {
+    auto& host = *slot;
+    if (host.releasing || host.listed_failed) {
+      release(host);
+      continue;
+    }
+    if (host.heard) {
+      ++heard;
+      if (host.tasks.empty() && host.quarantined) release(host);
+      else if (now - host.last_report > 3 * settings_.report_s + k::kReportReplyLimit) silent.push_back(&host);
+      continue;
+    }
+    const auto* flavor = model_.flavor(host.type);
+    const double ready = flavor == nullptr ? 0 : flavor->ready_s;
+    // An adopted machine may have been up for long and simply not have found
+    // us yet, so it also gets a lease's time from the takeover.
+    const double since = std::max(host.rented_at, started_ + lease - k::kBootGiveUp * ready);
+    if (flavor != nullptr && host.tasks.empty() && now - since > k::kBootGiveUp * ready) {
+      spdlog::info("host {} did not come up, returning it", host.id);
+      release(host);
+    }
+  }
+  // One silent machine is most likely dead. When many fall silent at once it
+  // is the network, and deleting them would turn a cut into a loss.
+  const bool reflex = silent.size() * 3 > heard && silent.size() > 1;
+  for (auto* host : silent) {
+    const double quiet = now - host->last_report;
+    const double lag = 2 * settings_.list_lag_s + 1;
+    const bool unlisted = ever_listed_ && !host->listed && quiet > lag;
+    if (unlisted || quiet > lease + (reflex ? 4 * lease : lease * 0.5)) release(*host);
+  }
+}
+
+std::vector<sched::Pool> FleetKeeper::pools_of(const wire::Flavor& flavor, double now) const {
+  std::vector<sched::Pool> pools;
+  const auto& zones = flavor.zones.empty() ? settings_.zones : flavor.zones;
+  for (const auto& zone : zones) {
+    for (const bool spot : {false, true}) {
+      sched::Pool pool{flavor.name, zone, spot, spot ? flavor.spot_price : flavor.price, 0, 0, 0, false};
+      const auto state = pools_.find({flavor.name, zone, spot});
+      if (state != pools_.end()) {
+        pool.blocked = state->second.pending || state->second.blocked_until > now;
+        if (state->second.pending) pool.booting += state->second.count;
+      }
+      for (const auto& [id, host] : model_.hosts()) {
+        if (host->type != flavor.name || host->zone != zone || host->spot != spot) continue;
+        if (host->releasing || host->quarantined || host->recall_at || host->listed_failed) continue;
+        if (!host->heard) ++pool.booting;
+        else if (now - host->last_report < 3 * settings_.report_s + k::kReportReplyLimit) ++pool.alive;
+      }
+      pools.push_back(std::move(pool));
+    }
+  }
+  return pools;
+}
+
+sched::Demand FleetKeeper::demand_of(const wire::Flavor& flavor, double now) const {
+  const sched::Amount whole{flavor.cpus, flavor.gpus, flavor.memory_gb};
+  sched::Demand demand;
+  std::map<std::string, sched::Amount> wanted;
+  for (const auto& [id, job] : model_.jobs()) {
+    if (job->cancelled || job->failed_until > now || job->all_done()) continue;
+    const auto& types = job->spec.types;
+    if (!types.empty() && std::find(types.begin(), types.end(), flavor.name) == types.end()) continue;
+    const auto* team = settings_.team(job->spec.team);
+    if (team == nullptr) continue;
+    double share = job->need.share_of(whole);
+    if (share > 1 + 1e-6) continue;
+    share = 1.0 / std::floor(1.0 / share + 1e-6);
+    // No more than the team's limit allows at once.
+    auto& sum = wanted[job->spec.team];
+    for (std::uint32_t left = job->spec.tasks - job->finished_tasks; left > 0; --left) {
+      if (!sched::within_limit(*team, sum + job->need)) break;
+      sum += job->need;
+      (job->spec.spot ? demand.flexible : demand.ordinary) += share;
+      if (demand.flexible > 1000 || demand.ordinary > 1000) break;
+    }
+  }
+  demand.headroom = 0.5 + 0.1 * demand.ordinary;
+  return demand;
+}
+
+void FleetKeeper::plan(double now) {
+  // Machines a former leader rented a moment ago show up in the late list
+  // only after a while; renting before would buy them twice.
+  const double wait = term_ <= 1 ? 0 : 2 * settings_.list_lag_s;
+  if (!ever_listed_ || now < started_ + wait) return;
+  for (const auto& flavor : model_.flavors()) {
+    const auto pools = pools_of(flavor, now);
+    const auto demand = demand_of(flavor, now);
+    for (const auto& rental : sched::plan_rentals(pools, demand)) {
+      const auto& pool = pools[rental.pool];
+      rent({pool.type, pool.zone, pool.spot}, std::min(rental.count, k::kMaxRentCount));
+    }
+    return_idle(pools, demand, now);
+  }
+}
+
+void FleetKeeper::return_idle(const std::vector<sched::Pool>& pools, const sched::Demand& demand, double now) {
+  auto spare = sched::surplus(pools, demand);
+  const auto& type = pools.empty() ? std::string() : pools.front().type;
+  for (auto& [id, host] : model_.hosts()) {
+    if (host->type != type || !host->synced || host->releasing) continue;
+    if (!host->tasks.empty() || host->foreign) {
+      host->idle_since = kNever;
+      continue;
+    }
+    if (host->idle_since == kNever) host->idle_since = now;
+    int& left = host->spot ? spare.spot : spare.ordinary;
+    if (left <= 0 || now - host->idle_since < k::kIdleRelease) continue;
+    --left;
+    spdlog::info("host {} idle, returning it", host->id);
+    release(*host);
+  }
+}
+
+void FleetKeeper::rent(const PoolKey& key, int count) {
+  auto& pool = pools_[key];
+  if (pool.pending || count <= 0) return;
+  pool.pending = true;
+  pool.count = count;
+  // Term and counter: never used before, by no node.
+  pool.name = "r-" + std::to_string(term_) + "-" + std::to_string(next_request_++);
+  send_rent(key);
+}
+
+void FleetKeeper::send_rent(const PoolKey& key) {
+  auto& pool = pools_[key];
+  const auto& [type, zone, spot] = key;
+  spdlog::info("renting {} x {} in {}{} as {}", pool.count, type, zone, spot ? " (spot)" : "", pool.name);
+  cloud_.rent(pool.name, type, zone, spot, pool.count, scope_.wrap([this, key](const fleet::RentResult& result) {
+    using Outcome = fleet::RentResult::Outcome;
+    auto& state = pools_[key];
+    const double now = runtime_.now();
+    if (result.outcome == Outcome::unknown || result.outcome == Outcome::unavailable) {
+      // The same name again: if it was carried out, it is answered the same.
+      runtime_.after(k::kFleetEvery, scope_.wrap([this, key] { send_rent(key); }));
+      return;
+    }
+    state.pending = false;
+    if (result.outcome == Outcome::ok && !result.hosts.empty()) {
+      for (const auto& id : result.hosts) {
+        auto& host = model_.host(id);
+        if (host.type.empty()) model_.describe(host, std::get<0>(key), std::get<1>(key), std::get<2>(key), "");
+        if (host.rented_at == kNever) host.rented_at = now;
+      }
+    }
+    if (result.outcome == Outcome::ok && result.hosts.size() == static_cast<std::size_t>(state.count)) {
+      state.pause = k::kNoCapacityPause;
+      return;
+    }
+    state.blocked_until = now + state.pause;
+    state.pause = std::min(state.pause * 2, k::kNoCapacityPauseMax);
+    spdlog::info("no capacity for {} in {}", std::get<0>(key), std::get<1>(key));
+  }));
+}
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/fleet_keeper.hpp
@@ -0,0 +1,59 @@
+// Rents and returns machines.
+#pragma once
+
+#include "engine/model.hpp"
+#include "engine/planner.hpp"
+#include "sched/fleet_plan.hpp"
+#include "fleet/cloud.hpp"
+
+namespace elmstall::engine {
+
+class FleetKeeper {
+ public:
+  /// `first_term`: nobody can have rented anything before us.
+  FleetKeeper(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, fleet::Cloud& cloud, Model& model,
+              Estimates& estimates, std::uint64_t term, std::function<void(Host&)> gone);
+
+  void tick();
+  /// Asks the cloud to delete the machine, which proves its tasks gone.
+  void release(Host& host);
+
+ private:
+  struct PoolState {
+    bool pending = false;  ///< a request is under way or must be repeated
+    std::string name;      ///< of that request
+    int count = 0;
+    double blocked_until = kNever;
+    double pause = constants::kNoCapacityPause;
+  };
+  using PoolKey = std::tuple<std::string, std::string, bool>;
+
+  void read_list(const std::string& since);
+  void finish_list(double started);
+  void review_hosts(double now);
+  void plan(double now);
+  void return_idle(const std::vector<sched::Pool>& pools, const sched::Demand& demand, double now);
+  void rent(const PoolKey& key, int count);
+  void send_rent(const PoolKey& key);
+  [[nodiscard]] std::vector<sched::Pool> pools_of(const wire::Flavor& flavor, double now) const;
+  [[nodiscard]] sched::Demand demand_of(const wire::Flavor& flavor, double now) const;
+
+  const config::Settings& settings_;
+  Runtime& runtime_;
+  fleet::Cloud& cloud_;
+  Model& model_;
+  Estimates& estimates_;
+  std::uint64_t term_;
+  std::function<void(Host&)> gone_;
+  CommandScope scope_;
+  std::map<PoolKey, PoolState> pools_;
+  std::uint64_t next_request_ = 1;
+  double started_ = 0;
+  double next_plan_ = kNever;
+  double next_list_ = kNever;
+  bool listing_ = false;
+  bool ever_listed_ = false;
+  std::vector<wire::CloudHost> listed_;
+};
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/gateway.cpp
@@ -0,0 +1,179 @@
+#include "engine/gateway.hpp"
+
+#include <algorithm>
+
+#include "config/constants.hpp"
+#include "sched/resources.hpp"
+
+namespace elmstall::engine {
+
+namespace k = constants;
+using ledger::Outcome;
+
+Gateway::CallPtr Gateway::enter(net::Responder respond, double patience_s) {
+  if (!limit_.try_enter()) {
+    respond({503, {}, k::kRetryAfter});
+    return nullptr;
+  }
+  const double now = runtime_.now();
+  auto call = std::make_shared<Call>();
+  call->deadline = now + patience_s;
+  call->respond = [this, now, respond = std::move(respond)](net::Response response) {
+    // A 503 tells of the state service, not of our own load.
+    limit_.leave(response.status == 503 ? -1 : runtime_.now() - now);
+    respond(std::move(response));
+  };
+  return call;
+}
+
+void Gateway::later(const CallPtr& call) const { call->respond({503, {}, k::kRetryAfter}); }
+
+void Gateway::answer(const CallPtr& call, int status, const wire::JobStatus& state, bool counts) const {
+  call->respond({status, wire::encode_status(state, counts), 0});
+}
+
+void Gateway::refuse(const CallPtr& call, int status, const std::string& text) const {
+  wire::Packer packer;
+  packer.map(1).key("error").text(text);
+  call->respond({status, packer.take(), 0});
+}
+
+void Gateway::retry(const CallPtr& call, std::function<void()> again) {
+  if (runtime_.now() + k::kStateRetry >= call->deadline) return later(call);
+  runtime_.after(k::kStateRetry / 2, scope_.wrap(std::move(again)));
+}
+
+void Gateway::if_known(const CallPtr& call, bool counts, std::function<void()> otherwise) {
+  const auto& id = call->id;
+  // What is final never changes: no proof is needed.
+  if (mirror_.final_state(id)) return answer(call, 200, mirror_.status(id), counts);
+  proof_.request(call->deadline - runtime_.now(), [this, call, counts, otherwise = std::move(otherwise)](bool current) {
+    if (!current) return later(call);
+    if (mirror_.final_state(call->id) || mirror_.job(call->id) != nullptr) return answer(call, 200, mirror_.status(call->id), counts);
+    // Not among the live jobs; it may be over since before this node began.
+    store_.get(ledger::final_key(call->id), scope_.wrap([this, call, counts, otherwise](const ledger::GetResult& result) {
+      if (result.outcome == Outcome::missing) return otherwise();
+      if (result.outcome != Outcome::ok) return later(call);
+      mirror_.remember_final(call->id, ledger::decode_final(result.entry.value));
+      answer(call, 200, mirror_.status(call->id), counts);
+    }));
+  });
+}
+
+void Gateway::poll(const std::string& id, net::Responder respond) {
+  auto call = enter(std::move(respond), k::kPollDeadline);
+  if (!call) return;
+  call->id = id;
+  if (!wire::valid_job_id(id)) return refuse(call, 404, "no such job");
+  if_known(call, true, [this, call] { refuse(call, 404, "no such job"); });
+}
+
+std::string Gateway::objection(wire::JobSpec& spec) const {
+  const auto* team = settings_.team(spec.team);
+  if (team == nullptr) return "unknown team";
+  const sched::Amount need{spec.cpus, spec.gpus, spec.memory_gb};
+  if (!spec.types.empty()) {
+    std::erase_if(spec.types, [this](const std::string& type) {
+      return std::none_of(flavors_.begin(), flavors_.end(), [&](const auto& flavor) { return flavor.name == type; });
+    });
+    if (spec.types.empty()) return "no allowed machine type exists";
+  }
+  const bool fits = std::any_of(flavors_.begin(), flavors_.end(), [&](const wire::Flavor& flavor) {
+    const bool type_ok = spec.types.empty() || std::find(spec.types.begin(), spec.types.end(), flavor.name) != spec.types.end();
+    const bool zone_ok = !spec.zone || flavor.zones.empty() || std::find(flavor.zones.begin(), flavor.zones.end(), *spec.zone) != flavor.zones.end();
+    return type_ok && zone_ok && need.fits({flavor.cpus, flavor.gpus, flavor.memory_gb});
+  });
+  if (!fits) return "a task fits no allowed machine type";
+  const double count = spec.kind == wire::JobKind::service ? spec.tasks : 1;
+  if (!sched::within_limit(*team, need * count)) return "more than the team's limit";
+  return {};
+}
+
+void Gateway::submit(const std::string& body, net::Responder respond) {
+  auto call = enter(std::move(respond), k::kUserDeadline);
+  if (!call) return;
+  try {
+    const auto document = wire::Document::parse(body);
+    call->spec = wire::decode_job(document.root());
+  } catch (const wire::Malformed& error) {
+    return refuse(call, 400, error.what());
+  }
+  call->id = call->spec.id;
+  if (mirror_.final_state(call->id) || mirror_.job(call->id) != nullptr) {
+    return if_known(call, false, [this, call] { later(call); });
+  }
+  if (flavors_.empty()) return later(call);
+  if (const auto problem = objection(call->spec); !problem.empty()) {
+    // An id that was accepted before keeps its answer, whatever is sent now.
+    return if_known(call, false, [this, call, problem] { refuse(call, 422, problem); });
+  }
+  create(call);
+}
+
+void Gateway::create(const CallPtr& call) {
+  wire::Txn txn;
+  // Guarded on the final record too: a copy of this request that arrives
+  // after the job is over must not create it again.
+  txn.guards = {{ledger::job_key(call->id), 0}, {ledger::final_key(call->id), 0}};
+  txn.writes = {{ledger::job_key(call->id), ledger::encode(ledger::JobRecord{call->spec, false, runtime_.wall()}), 0}};
+  store_.commit(std::move(txn), ledger::Urgency::user, scope_.wrap([this, call](const ledger::CommitResult& result) {
+    switch (result.outcome) {
+      case Outcome::ok:
+        return answer(call, 201, {call->id, wire::JobState::queued, 0, 0}, false);
+      case Outcome::conflict:
+        return if_known(call, false, [this, call] { later(call); });
+      case Outcome::unavailable:
+        return retry(call, [this, call] { create(call); });
+      case Outcome::unknown:
+        return confirm_create(call);
+      default:
+        return later(call);
+    }
+  }));
+}
+
+void Gateway::confirm_create(const CallPtr& call) {
+  store_.get(ledger::job_key(call->id), scope_.wrap([this, call](const ledger::GetResult& result) {
+    if (result.outcome == Outcome::ok) return answer(call, 201, {call->id, wire::JobState::queued, 0, 0}, false);
+    if (result.outcome == Outcome::missing) return retry(call, [this, call] { create(call); });
+    later(call);
+  }));
+}
+
+void Gateway::cancel(const std::string& id, net::Responder respond) {
+  auto call = enter(std::move(respond), k::kUserDeadline);
+  if (!call) return;
+  call->id = id;
+  if (!wire::valid_job_id(id)) return refuse(call, 404, "no such job");
+  mark_cancelled(call);
+}
+
+void Gateway::mark_cancelled(const CallPtr& call) {
+  const auto* job = mirror_.job(call->id);
+  if (job == nullptr) {
+    // Over, unknown, or too new for this mirror.
+    return proof_.request(call->deadline - runtime_.now(), [this, call](bool current) {
+      if (!current && !mirror_.final_state(call->id)) return later(call);
+      if (mirror_.job(call->id) != nullptr) return mark_cancelled(call);
+      if_known(call, false, [this, call] { refuse(call, 404, "no such job"); });
+    });
+  }
+  if (job->record.cancelled) return answer(call, 200, mirror_.status(call->id), false);
+  auto record = job->record;
+  record.cancelled = true;
+  wire::Txn txn;
+  txn.guards = {{ledger::job_key(call->id), job->stamp}};
+  txn.writes = {{ledger::job_key(call->id), ledger::encode(record), 0}};
+  store_.commit(std::move(txn), ledger::Urgency::user, scope_.wrap([this, call](const ledger::CommitResult& result) {
+    if (result.outcome == Outcome::ok) return answer(call, 200, {call->id, wire::JobState::cancelled, 0, 0}, false);
+    if (result.outcome == Outcome::unavailable) return retry(call, [this, call] { mark_cancelled(call); });
+    // Changed by somebody else, or perhaps by this very request: look again
+    // with a mirror that is current.
+    proof_.request(call->deadline - runtime_.now(), [this, call](bool current) {
+      if (!current) return later(call);
+      retry(call, [this, call] { mark_cancelled(call); });
+    });
+  }));
+}
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/gateway.hpp
@@ -0,0 +1,58 @@
+// Users' requests, served by every node straight against the state service:
+// users never wait for an election.
+#pragma once
+
+#include <memory>
+
+#include "config/settings.hpp"
+#include "engine/limiter.hpp"
+#include "engine/proof.hpp"
+#include "net/http_server.hpp"
+
+namespace elmstall::engine {
+
+class Gateway {
+ public:
+  Gateway(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, ledger::Store& store, ledger::Mirror& mirror, Proof& proof)
+      : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), proof_(proof), scope_(queue) {}
+
+  void set_flavors(const std::vector<wire::Flavor>& flavors) { flavors_ = flavors; }
+  void submit(const std::string& body, net::Responder respond);
+  void poll(const std::string& id, net::Responder respond);
+  void cancel(const std::string& id, net::Responder respond);
+  [[nodiscard]] const ConcurrencyLimit& limit() const { return limit_; }
+
+ private:
+  struct Call {
+    net::Responder respond;
+    double deadline = 0;
+    wire::JobSpec spec;
+    std::string id;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  /// Counts the request against the limit; nothing when it is shed.
+  CallPtr enter(net::Responder respond, double patience_s);
+  void later(const CallPtr& call) const;
+  void answer(const CallPtr& call, int status, const wire::JobStatus& state, bool counts) const;
+  void refuse(const CallPtr& call, int status, const std::string& text) const;
+
+  /// Answers with the job's state if there is such a job, else calls `otherwise`.
+  void if_known(const CallPtr& call, bool counts, std::function<void()> otherwise);
+  void create(const CallPtr& call);
+  void confirm_create(const CallPtr& call);
+  void mark_cancelled(const CallPtr& call);
+  void retry(const CallPtr& call, std::function<void()> again);
+  [[nodiscard]] std::string objection(wire::JobSpec& spec) const;
+
+  const config::Settings& settings_;
+  Runtime& runtime_;
+  ledger::Store& store_;
+  ledger::Mirror& mirror_;
+  Proof& proof_;
+  CommandScope scope_;
+  std::vector<wire::Flavor> flavors_;
+  ConcurrencyLimit limit_;
+};
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/leader.cpp
@@ -0,0 +1,390 @@
+#include "engine/leader.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "config/constants.hpp"
+
+namespace elmstall::engine {
+
+namespace k = constants;
+using wire::EndCause;
+using wire::TaskState;
+
+Leader::Leader(Context context, std::uint64_t term, std::uint64_t term_stamp, double confirmed)
+    : context_(context),
+      term_(term),
+      started_(context.runtime.now()),
+      confirmed_(confirmed),
+      committer_(context.settings, context.runtime, context.queue, context.store, context.mirror, term_stamp,
+                 {[] {},  // what was written is looked at after every batch
+                  [this](const std::string& job) { model_.remove_job(job); },
+                  // Not from inside the committer, which goes with the leader.
+                  [this] { context_.queue.post(context_.deposed); },
+                  [this](double sent) { confirm(sent); }}),
+      model_(context.settings, committer_),
+      planner_(context.settings, model_, estimates_),
+      fleet_(context.settings, context.runtime, context.queue, context.cloud, model_, estimates_, term,
+             [this](Host& host) { host_gone(host, "deleted or failed"); }),
+      scope_(context.queue) {
+  rebuild();
+}
+
+bool Leader::entitled() const { return context_.runtime.now() - confirmed_ < context_.settings.authority_s(); }
+
+void Leader::set_flavors(const std::vector<wire::Flavor>& flavors) { model_.set_flavors(flavors); }
+
+// --- records -----------------------------------------------------------------
+
+void Leader::rebuild() {
+  const auto& mirror = context_.mirror;
+  const auto& settings = context_.settings;
+  // Whoever led before may have answered reports until its authority ran
+  // out, and what it answered last keeps a lease alive that much longer.
+  const double inherited = started_ + settings.authority_s() + settings.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
+  for (const auto& [id, value] : mirror.hosts()) {
+    const auto record = ledger::decode_host(value.packed);
+    auto& host = model_.host(id);
+    model_.describe(host, record.type, record.zone, record.spot, record.addr);
+    host.inherited_until = inherited;
+    host.record = committer_.add(ledger::host_key(id), value.stamp, "", [&host] {
+      return ledger::encode(ledger::HostRecord{host.addr, host.type, host.zone, host.spot});
+    });
+  }
+  for (const auto& [id, job] : mirror.jobs()) add_job(id, job.record);
+  sweep_orphans();
+  spdlog::info("leading in term {}: {} jobs, {} hosts taken over", term_, model_.jobs().size(), model_.hosts().size());
+}
+
+void Leader::add_job(const std::string& id, const ledger::JobRecord& record) {
+  const double age = std::max(0.0, context_.runtime.wall() - record.submitted);
+  auto& job = model_.add_job(id, record, context_.runtime.now() - age);
+  if (const auto* blocks = context_.mirror.blocks(id)) {
+    for (const auto& [number, stored] : *blocks) {
+      if (number < job.block_count) adopt_block(job, number, stored);
+    }
+  }
+  if (job.cancelled) cancel(job);
+}
+
+void Leader::adopt_block(Job& job, std::uint32_t number, const ledger::Mirror::Block& stored) {
+  auto& block = model_.load_block(job, number, &stored);
+  for (const auto& known : ledger::decode_block(stored.packed).tasks) {
+    if (known.host.empty() || known.index < block.first || known.index - block.first >= block.tasks.size()) continue;
+    auto& host = model_.host(known.host);
+    if (host.inherited_until == kNever) host.inherited_until = started_ + context_.settings.authority_s() + context_.settings.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
+    model_.adopt(block.tasks[known.index - block.first], host, known.attempt, started_);
+  }
+  if (std::all_of(block.done.begin(), block.done.end(), [](bool done) { return done; })) block.tasks.clear();
+}
+
+void Leader::sweep_orphans() {
+  // Blocks whose job has its last word already: too many for one transaction.
+  for (const auto& [id, blocks] : context_.mirror.all_blocks()) {
+    if (context_.mirror.job(id) != nullptr) continue;
+    for (const auto& [number, stored] : blocks) {
+      committer_.discard(*committer_.add(ledger::block_key(id, number), stored.stamp, "", nullptr));
+    }
+  }
+}
+
+void Leader::on_change(const std::vector<ledger::Key>& keys) {
+  for (const auto& key : keys) {
+    if (key.kind != ledger::Key::Kind::job) continue;
+    const auto* stored = context_.mirror.job(key.id);
+    if (stored == nullptr) continue;
+    auto* job = model_.job(key.id);
+    if (job == nullptr) {
+      spdlog::info("job {} accepted: {} tasks of class {} for {}", key.id, stored->record.spec.tasks, stored->record.spec.lane, stored->record.spec.team);
+      add_job(key.id, stored->record);
+    } else if (stored->record.cancelled && !job->cancelled) {
+      job->cancelled = true;
+      cancel(*job);
+    }
+  }
+}
+
+void Leader::cancel(Job& job) {
+  spdlog::info("job {} cancelled", job.id);
+  for (auto& [number, block] : job.blocks) {
+    for (auto& task : block->tasks) {
+      planner_.forget(task);
+      task.listed = false;
+      if (task.phase == Phase::planned || task.phase == Phase::assigned) {
+        stop_task(model_, task, false);
+        // Whatever it was saving is of no use to anybody now.
+        task.wind_down_s = 0;
+      }
+    }
+  }
+}
+
+void Leader::close_jobs() {
+  for (auto& [id, job] : model_.jobs()) {
+    if (committer_.finishing(id)) continue;
+    const bool over = job->cancelled ? job->on_hosts == 0 : job->all_done();
+    if (!over) continue;
+    Committer::Final final{id, {job->cancelled ? wire::JobState::cancelled : wire::JobState::done, job->spec.tasks}, {}};
+    for (auto& [number, block] : job->blocks) final.blocks.push_back(block->record);
+    spdlog::info("job {} is over: {}", id, wire::to_text(final.record.state));
+    committer_.finish(std::move(final));
+  }
+}
+
+// --- machines ------------------------------------------------------------------
+
+void Leader::host_gone(Host& host, const char* why) {
+  if (!host.tasks.empty()) spdlog::info("host {}: {} tasks are gone with it ({})", host.id, host.tasks.size(), why);
+  const auto tasks = host.tasks;
+  for (auto* task : tasks) {
+    if (task->phase == Phase::planned) model_.unplan(*task);
+    else model_.release(*task);
+  }
+  host.exited.clear();
+  host.stray.clear();
+  host.strangers = {};
+  host.foreign = false;
+}
+
+void Leader::expire_hosts(double now) {
+  const double lease = context_.settings.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
+  for (auto& [id, host] : model_.hosts()) {
+    if (host->tasks.empty()) continue;
+    // Held answers count as given: they may go out at any moment.
+    if (held_.contains(id)) continue;
+    const double alive_until = std::max(host->inherited_until, host->last_answer == kNever ? kNever : host->last_answer + lease);
+    if (alive_until == kNever || now < alive_until) continue;
+    host_gone(*host, "its lease is over");
+    host->synced = false;
+  }
+}
+
+// --- reports ---------------------------------------------------------------------
+
+void Leader::on_report(wire::Report report, net::Responder respond) {
+  const double now = context_.runtime.now();
+  if (!entitled()) return respond({503, {}, 0});
+  if (model_.released(report.host)) return respond({503, {}, 0});
+  auto& host = model_.host(report.host);
+  // Late copies: the task list is as old as the report.
+  if (host.heard && std::pair(report.session, report.tick) <= std::pair(host.session, host.tick)) return respond({503, {}, 0});
+  if (const auto held = held_.find(host.id); held != held_.end()) {
+    held->second.respond({503, {}, 0});  // the worker has given this one up
+    held_.erase(held);
+  }
+  read_report(host, report, now);
+  held_[host.id] = {std::move(respond), now + k::kReportHold};
+  context_.runtime.after(k::kReportHold, scope_.wrap([] {}));  // a batch then looks at it again
+}
+
+void Leader::read_report(Host& host, const wire::Report& report, double now) {
+  model_.describe(host, report.type, report.zone, report.spot, report.addr);
+  if (host.record == nullptr) {
+    host.record = committer_.add(ledger::host_key(host.id), 0, "", [&host] {
+      return ledger::encode(ledger::HostRecord{host.addr, host.type, host.zone, host.spot});
+    });
+    committer_.touch(*host.record);
+    spdlog::info("host {} ({} in {}{}) reports", host.id, host.type, host.zone, host.spot ? ", spot" : "");
+  }
+  // A later session knows nothing of the tasks of an earlier one. Of a host
+  // that is new to this term no session is known, but the records may name
+  // tasks: those that it does not report are settled once it is synchronised.
+  if (host.heard && report.session > host.session) host_gone(host, "its session ended");
+  host.heard = true;
+  host.session = report.session;
+  host.tick = report.tick;
+  host.last_report = now;
+  // Only our own answer can have taught it our token, so this report was
+  // sent after the takeover, and nobody else has given it orders since.
+  host.synced = host.synced || report.token >= token();
+  if (report.recall_s) host.recall_at = now + *report.recall_s;
+  host.exited.clear();
+  host.stray.clear();
+  host.strangers = {};
+  host.foreign = false;
+  for (auto* task : host.tasks) task->seen = false;
+  for (const auto& task : report.tasks) read_task(host, task, now);
+  if (host.synced) absent_tasks(host);
+  if (host.recall_at) handle_recall(host, now);
+}
+
+void Leader::read_task(Host& host, const wire::TaskReport& report, double now) {
+  auto* job = model_.job(report.job);
+  auto* task = job == nullptr ? nullptr : model_.task(*job, report.index);
+  const bool ended = report.state == TaskState::ended;
+  const bool ours = task != nullptr && task->phase == Phase::assigned && task->host == &host && task->attempt == report.attempt;
+  if (!ours) {
+    const Exited name{report.job, report.index, report.attempt};
+    if (ended) {
+      host.exited.push_back(name);
+      return;
+    }
+    host.stray.emplace_back(name, false);
+    if (job != nullptr) host.strangers += job->need;
+    else host.foreign = true;
+    return;
+  }
+  task->seen = true;
+  task->offered = true;
+  if (ended) return task_ended(*task, host, report, now);
+  if (report.state == TaskState::running && task->running_since == kNever) task->running_since = now;
+  task->state = report.state;
+}
+
+void Leader::task_ended(Task& task, Host& host, const wire::TaskReport& report, double now) {
+  host.exited.push_back({report.job, report.index, report.attempt});
+  auto& job = *task.job;
+  switch (report.cause) {
+    case EndCause::done:
+      if (job.cancelled) return model_.release(task);
+      if (task.running_since != kNever) estimates_.learn(job.spec.lane, job.spec.expect_s, now - task.running_since);
+      // A service's replica runs until it is cancelled; should one end by
+      // itself it is started again.
+      if (job.service()) return model_.release(task);
+      return model_.complete(task);
+    case EndCause::error:
+      return task_failed(task, host, now);
+    case EndCause::no_room:
+    case EndCause::in_use:
+    case EndCause::unknown:
+      task.not_before = now + k::kErrorBackoff;
+      return model_.release(task);
+    default:
+      return model_.release(task);
+  }
+}
+
+void Leader::task_failed(Task& task, Host& host, double now) {
+  auto& job = *task.job;
+  spdlog::info("task {} failed on host {}", wire::task_name(job.id, task.index), host.id);
+  ++task.failures;
+  task.not_before = now + std::min(k::kErrorBackoff * (1 << std::min(task.failures, 5)), k::kErrorBackoffMax);
+  job.failed_on.insert(host.id);
+  host.failed_jobs.insert(job.id);
+  model_.release(task);
+  if (static_cast<int>(job.failed_on.size()) >= k::kJobErrorHosts) {
+    // Several machines agree: the job is at fault, and must not burn the fleet.
+    job.failed_until = now + std::min(k::kErrorBackoff * (1 << std::min(++job.failures + 2, 6)), k::kErrorBackoffMax);
+    for (const auto& id : job.failed_on) {
+      auto* other = model_.find_host(id);
+      if (other == nullptr) continue;
+      other->failed_jobs.erase(job.id);
+      other->quarantined = static_cast<int>(other->failed_jobs.size()) >= k::kHostErrorLimit;
+    }
+    return;
+  }
+  if (static_cast<int>(host.failed_jobs.size()) >= k::kHostErrorLimit && !host.quarantined) {
+    spdlog::info("host {} quarantined: tasks of {} jobs failed there", host.id, host.failed_jobs.size());
+    host.quarantined = true;
+  }
+}
+
+void Leader::absent_tasks(Host& host) {
+  // The report is exact: an answer to an earlier report was carried out
+  // before this one was sent, or never will be.
+  const auto tasks = host.tasks;
+  for (auto* task : tasks) {
+    if (task->phase != Phase::assigned || task->seen) continue;
+    if (task->stopping || task->job->cancelled) model_.release(*task);
+    // Otherwise `run` is sent (again): the attempt was never cleared there.
+  }
+}
+
+void Leader::handle_recall(Host& host, double now) {
+  for (auto* task : std::set<Task*>(host.tasks)) {
+    if (task->phase == Phase::planned) {
+      model_.unplan(*task);
+      continue;
+    }
+    const auto& spec = task->job->spec;
+    const double left = *host.recall_at - now;
+    const double ran = task->running_since == kNever ? 0 : now - task->running_since;
+    const double needs = estimates_.run_time(spec.lane, spec.expect_s) - ran;
+    // What can't end in time starts elsewhere at once.
+    if (task->job->service() || spec.checkpoint_every_s > 0 || needs > left) stop_task(model_, *task, true);
+  }
+}
+
+bool Leader::settled(const Host& host) {
+  const auto written = [](const Task* task) { return task->phase != Phase::assigned || task->block->record->written >= task->needs; };
+  if (!std::all_of(host.tasks.begin(), host.tasks.end(), written)) return false;
+  return std::all_of(host.exited.begin(), host.exited.end(), [this](const Exited& exited) {
+    auto* job = model_.job(exited.job);
+    if (job == nullptr || committer_.finishing(exited.job)) return job == nullptr;
+    const auto size = ledger::block_size(context_.settings.state_value_kb);
+    const auto block = job->blocks.find(exited.index / size);
+    return block == job->blocks.end() || block->second->record->clean();
+  });
+}
+
+std::vector<wire::Order> Leader::orders_for(Host& host) {
+  std::vector<wire::Order> orders;
+  for (const auto& [name, unused] : host.stray) orders.push_back({wire::Verb::stop, name.job, name.index, name.attempt, 0});
+  for (auto* task : host.tasks) {
+    if (orders.size() >= k::kMaxOrders) break;
+    if (task->phase != Phase::assigned) continue;
+    const auto& id = task->job->id;
+    if (task->stopping) {
+      // A task that saves is left alone unless its work is of no use.
+      if (task->state != TaskState::saving || task->wind_down_s <= 0) {
+        orders.push_back({wire::Verb::stop, id, task->index, task->attempt, task->wind_down_s});
+      }
+    } else if (!task->seen && task->block->record->written >= task->needs && !task->job->cancelled) {
+      orders.push_back({wire::Verb::run, id, task->index, task->attempt, 0});
+      task->offered = true;
+    }
+  }
+  const auto size = ledger::block_size(context_.settings.state_value_kb);
+  for (const auto& exited : host.exited) {
+    if (orders.size() >= k::kMaxOrders) break;
+    // Only after what it reported is recorded: once cleared, the worker
+    // would start the attempt anew.
+    auto* job = model_.job(exited.job);
+    if (job != nullptr) {
+      if (committer_.finishing(exited.job)) continue;
+      const auto block = job->blocks.find(exited.index / size);
+      if (block != job->blocks.end() && !block->second->record->clean()) continue;
+    }
+    orders.push_back({wire::Verb::clear, exited.job, exited.index, exited.attempt, 0});
+  }
+  return orders;
+}
+
+void Leader::answer_held(double now) {
+  for (auto it = held_.begin(); it != held_.end();) {
+    auto* host = model_.find_host(it->first);
+    if (host != nullptr && entitled() && now < it->second.until && !settled(*host)) {
+      ++it;
+      continue;
+    }
+    auto respond = std::move(it->second.respond);
+    it = held_.erase(it);
+    if (host == nullptr || !entitled()) {
+      respond({503, {}, 0});
+      continue;
+    }
+    host->last_answer = now;
+    respond({200, wire::encode_orders(token(), orders_for(*host)), 0});
+  }
+}
+
+void Leader::tick() {
+  expire_hosts(context_.runtime.now());
+  fleet_.tick();
+}
+
+void Leader::after_batch() {
+  const double now = context_.runtime.now();
+  planner_.decide(now);
+  close_jobs();
+  committer_.flush();
+  answer_held(now);
+}
+
+void Leader::resign() {
+  for (auto& [id, held] : held_) held.respond({503, {}, 0});
+  held_.clear();
+}
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/leader.hpp
@@ -0,0 +1,81 @@
+// The controller that holds the groups: rebuilt from the records at every
+// takeover, gone when the term is.
+#pragma once
+
+#include "engine/fleet_keeper.hpp"
+#include "engine/planner.hpp"
+#include "net/http_server.hpp"
+
+namespace elmstall::engine {
+
+class Leader {
+ public:
+  struct Context {
+    const config::Settings& settings;
+    Runtime& runtime;
+    CommandQueue& queue;
+    ledger::Store& store;
+    fleet::Cloud& cloud;
+    const ledger::Mirror& mirror;
+    std::function<void()> deposed;
+  };
+
+  /// `confirmed`: when the request that won the term was sent.
+  Leader(Context context, std::uint64_t term, std::uint64_t term_stamp, double confirmed);
+
+  void set_flavors(const std::vector<wire::Flavor>& flavors);
+  void on_report(wire::Report report, net::Responder respond);
+  void on_change(const std::vector<ledger::Key>& keys);
+  /// A request that proved the term to be current was sent at this time.
+  void confirm(double sent) { confirmed_ = std::max(confirmed_, sent); }
+  void tick();
+  void after_batch();
+  /// Answers what is still held: the next leader takes over.
+  void resign();
+
+  [[nodiscard]] std::uint64_t term() const { return term_; }
+  [[nodiscard]] std::uint64_t token() const { return term_ << constants::kTokenFenceBits; }
+  /// May this node still act for the controllers.
+  [[nodiscard]] bool entitled() const;
+  [[nodiscard]] Model& model() { return model_; }
+  [[nodiscard]] const Planner& planner() const { return planner_; }
+
+ private:
+  struct Held {
+    net::Responder respond;
+    double until = 0;
+  };
+
+  void rebuild();
+  void adopt_block(Job& job, std::uint32_t number, const ledger::Mirror::Block& stored);
+  void sweep_orphans();
+  void add_job(const std::string& id, const ledger::JobRecord& record);
+  void cancel(Job& job);
+  void close_jobs();
+  void host_gone(Host& host, const char* why);
+  void expire_hosts(double now);
+
+  void read_report(Host& host, const wire::Report& report, double now);
+  void read_task(Host& host, const wire::TaskReport& report, double now);
+  void task_ended(Task& task, Host& host, const wire::TaskReport& report, double now);
+  void task_failed(Task& task, Host& host, double now);
+  void absent_tasks(Host& host);
+  void handle_recall(Host& host, double now);
+  [[nodiscard]] bool settled(const Host& host);
+  [[nodiscard]] std::vector<wire::Order> orders_for(Host& host);
+  void answer_held(double now);
+
+  Context context_;
+  std::uint64_t term_;
+  double started_;
+  double confirmed_;
+  Committer committer_;
+  Model model_;
+  Estimates estimates_;
+  Planner planner_;
+  FleetKeeper fleet_;
+  std::map<std::string, Held> held_;
+  CommandScope scope_;
+};
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/model.cpp
@@ -0,0 +1,258 @@
+#include "engine/model.hpp"
+
+#include <algorithm>
+
+#include "config/constants.hpp"
+
+namespace elmstall::engine {
+namespace {
+
+constexpr int kIndexBits = 20;  // more than the 100,000 tasks a job may have
+constexpr std::size_t kImagesRemembered = 8;
+
+}  // namespace
+
+Job& Model::add_job(const std::string& id, const ledger::JobRecord& record, double submitted) {
+  auto job = std::make_unique<Job>();
+  job->id = id;
+  job->serial = next_serial_++;
+  job->spec = record.spec;
+  job->need = {record.spec.cpus, record.spec.gpus, record.spec.memory_gb};
+  job->cancelled = record.cancelled;
+  job->submitted = submitted;
+  const auto size = ledger::block_size(settings_.state_value_kb);
+  job->block_count = (record.spec.tasks + size - 1) / size;
+  by_serial_[job->serial] = job.get();
+  return *(jobs_[id] = std::move(job));
+}
+
+void Model::remove_job(const std::string& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  by_serial_.erase(found->second->serial);
+  jobs_.erase(found);
+}
+
+Job* Model::job(const std::string& id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+Job* Model::job_of(sched::TaskId id) {
+  const auto found = by_serial_.find(id >> kIndexBits);
+  return found == by_serial_.end() ? nullptr : found->second;
+}
+
+Task* Model::task(sched::TaskId id) {
+  auto* owner = job_of(id);
+  return owner == nullptr ? nullptr : task(*owner, static_cast<std::uint32_t>(id & ((1U << kIndexBits) - 1)));
+}
+
+Task* Model::task(Job& job, std::uint32_t index) {
+  if (index >= job.spec.tasks) return nullptr;
+  const auto size = ledger::block_size(settings_.state_value_kb);
+  auto& block = load_block(job, index / size, nullptr);
+  return block.all_done() ? nullptr : &block.tasks[index - block.first];
+}
+
+Block& Model::load_block(Job& job, std::uint32_t number, const ledger::Mirror::Block* stored) {
+  auto& slot = job.blocks[number];
+  if (slot) return *slot;
+  slot = std::make_unique<Block>();
+  auto& block = *slot;
+  const auto size = ledger::block_size(settings_.state_value_kb);
+  block.job = &job;
+  block.number = number;
+  block.first = number * size;
+  const auto count = std::min(size, job.spec.tasks - block.first);
+  block.done.assign(count, false);
+  block.tasks.resize(count);
+  for (std::uint32_t i = 0; i < count; ++i) {
+    auto& task = block.tasks[i];
+    task.job = &job;
+    task.block = &block;
+    task.index = block.first + i;
+    task.id = job.serial << kIndexBits | task.index;
+  }
+  if (stored != nullptr) {
+    const auto record = ledger::decode_block(stored->packed);
+    for (std::uint32_t i = 0; i < count && i < record.done.size(); ++i) {
+      if (!record.done[i]) continue;
+      block.done[i] = true;
+      block.tasks[i].phase = Phase::done;
+      ++job.finished_tasks;
+    }
+    for (const auto& known : record.tasks) {
+      if (known.index < block.first || known.index - block.first >= count) continue;
+      block.tasks[known.index - block.first].attempt = known.attempt;
+    }
+  }
+  block.record = committer_.add(ledger::block_key(job.id, number), stored == nullptr ? 0 : stored->stamp, job.id,
+                                [&block] { return ledger::encode(record_of(block)); });
+  return block;
+}
+
+ledger::BlockRecord Model::record_of(const Block& block) {
+  ledger::BlockRecord record;
+  record.done = block.done;
+  for (const auto& task : block.tasks) {
+    // An attempt number must never be used twice, so it outlives its host.
+    if (task.phase == Phase::done || task.attempt == 0) continue;
+    record.tasks.push_back({task.index, task.attempt, task.phase == Phase::assigned ? task.host->id : std::string()});
+  }
+  return record;
+}
+
+Host& Model::host(const std::string& id) {
+  auto& slot = hosts_[id];
+  if (!slot) {
+    slot = std::make_unique<Host>();
+    slot->id = id;
+  }
+  return *slot;
+}
+
+Host* Model::find_host(const std::string& id) {
+  const auto found = hosts_.find(id);
+  return found == hosts_.end() ? nullptr : found->second.get();
+}
+
+void Model::remove_host(const std::string& id) {
+  const auto found = hosts_.find(id);
+  if (found == hosts_.end()) return;
+  released_.insert(id);
+  if (found->second->record != nullptr) committer_.discard(*found->second->record);
+  hosts_.erase(found);
+}
+
+void Model::set_flavors(std::vector<wire::Flavor> flavors) {
+  flavors_ = std::move(flavors);
+  for (auto& [id, host] : hosts_) {
+    if (const auto* known = flavor(host->type)) host->capacity = {known->cpus, known->gpus, known->memory_gb};
+  }
+}
+
+const wire::Flavor* Model::flavor(const std::string& type) const {
+  const auto found = std::find_if(flavors_.begin(), flavors_.end(), [&](const auto& one) { return one.name == type; });
+  return found == flavors_.end() ? nullptr : &*found;
+}
+
+void Model::describe(Host& host, const std::string& type, const std::string& zone, bool spot, const std::string& addr) {
+  host.type = type;
+  host.zone = zone;
+  host.spot = spot;
+  if (!addr.empty()) host.addr = addr;
+  if (const auto* known = flavor(type)) host.capacity = {known->cpus, known->gpus, known->memory_gb};
+}
+
+void Model::attach(Task& task, Host& host) {
+  task.host = &host;
+  host.tasks.insert(&task);
+  host.used += task.job->need;
+  host.idle_since = kNever;
+  usage_[task.job->spec.team] += task.job->need;
+  ++task.job->per_zone[host.zone];
+  ++task.job->on_hosts;
+}
+
+void Model::detach(Task& task) {
+  auto& host = *task.host;
+  host.tasks.erase(&task);
+  host.used -= task.job->need;
+  if (host.tasks.empty()) host.used = {};
+  usage_[task.job->spec.team] -= task.job->need;
+  auto& in_zone = task.job->per_zone[host.zone];
+  if (--in_zone == 0) task.job->per_zone.erase(host.zone);
+  --task.job->on_hosts;
+  task.host = nullptr;
+  task.offered = task.seen = task.stopping = false;
+  task.wind_down_s = 0;
+  task.running_since = kNever;
+}
+
+void Model::touch(Task& task) { committer_.touch(*task.block->record); }
+
+void Model::plan(Task& task, Host& host) {
+  attach(task, host);
+  task.phase = Phase::planned;
+}
+
+void Model::unplan(Task& task) {
+  detach(task);
+  task.phase = Phase::pending;
+}
+
+void Model::assign(Task& task, Host& host, double now) {
+  if (task.phase == Phase::planned) unplan(task);
+  attach(task, host);
+  task.phase = Phase::assigned;
+  task.state = wire::TaskState::fetching;
+  task.since = now;
+  ++task.attempt;
+  touch(task);
+  task.needs = task.block->record->version;
+  const auto& image = task.job->spec.image;
+  std::erase(host.images, image);
+  host.images.push_back(image);
+  if (host.images.size() > kImagesRemembered) host.images.pop_front();
+}
+
+void Model::adopt(Task& task, Host& host, std::uint64_t attempt, double now) {
+  attach(task, host);
+  task.phase = Phase::assigned;
+  task.attempt = attempt;
+  task.since = now;
+  task.offered = true;  // by the former leader, as far as we know
+}
+
+void Model::release(Task& task) {
+  detach(task);
+  task.phase = Phase::pending;
+  touch(task);
+}
+
+void Model::complete(Task& task) {
+  if (task.host != nullptr) detach(task);
+  task.phase = Phase::done;
+  auto& block = *task.block;
+  block.done[task.index - block.first] = true;
+  ++task.job->finished_tasks;
+  touch(task);
+  if (std::all_of(block.done.begin(), block.done.end(), [](bool done) { return done; })) {
+    // The record needs only the bits from here on.
+    block.tasks.clear();
+    block.tasks.shrink_to_fit();
+  }
+}
+
+const sched::Amount& Model::usage(const std::string& team) const {
+  static const sched::Amount none;
+  const auto found = usage_.find(team);
+  return found == usage_.end() ? none : found->second;
+}
+
+bool Model::allowed(const Job& job, const Host& host) const {
+  const auto& spec = job.spec;
+  if (host.spot && !spec.spot) return false;
+  if (spec.zone && *spec.zone != host.zone) return false;
+  if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(), host.type) == spec.types.end()) return false;
+  if (spec.together) {
+    for (const auto& [zone, count] : job.per_zone) {
+      if (zone != host.zone) return false;
+    }
+    if (job.per_zone.empty() && !job.zone_choice.empty() && job.zone_choice != host.zone) return false;
+  }
+  if (spec.scatter) {
+    const auto found = job.per_zone.find(host.zone);
+    const std::size_t there = found == job.per_zone.end() ? 0 : found->second;
+    if (there + 1 > sched::scatter_limit(spec.tasks)) return false;
+  }
+  return true;
+}
+
+bool Model::within_quota(const Job& job) const {
+  const auto* team = settings_.team(job.spec.team);
+  return team != nullptr && sched::within_limit(*team, usage(job.spec.team) + job.need);
+}
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/model.hpp
@@ -0,0 +1,196 @@
+// What the leader knows of jobs, tasks and machines.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "engine/committer.hpp"
+#include "sched/group.hpp"
+#include "sched/resources.hpp"
+
+namespace elmstall::engine {
+
+inline constexpr double kNever = -std::numeric_limits<double>::infinity();
+
+struct Host;
+struct Job;
+struct Block;
+
+/// Where a task stands. From `assigned` on it may be on its host.
+enum class Phase : std::uint8_t {
+  pending,   ///< on no machine
+  planned,   ///< a host is kept for it, nothing is recorded yet
+  assigned,  ///< host and attempt are recorded or about to be
+  done,
+};
+
+struct Task {
+  Job* job = nullptr;
+  Block* block = nullptr;
+  std::uint32_t index = 0;
+  sched::TaskId id = 0;
+  Phase phase = Phase::pending;
+  std::uint64_t attempt = 0;
+  Host* host = nullptr;
+  /// Version of the block record that has to be written before `run` is sent.
+  std::uint64_t needs = 0;
+  /// `run` may have reached the host, from this leader or a former one.
+  bool offered = false;
+  /// Present in a report of this leader's term.
+  bool seen = false;
+  wire::TaskState state = wire::TaskState::fetching;
+  double since = kNever;     ///< when it was assigned
+  double running_since = kNever;
+  bool stopping = false;
+  double wind_down_s = 0;
+  double not_before = kNever;
+  int failures = 0;
+  bool listed = false;  ///< waits in a group's lists
+};
+
+struct Block {
+  Job* job = nullptr;
+  std::uint32_t number = 0;
+  std::uint32_t first = 0;
+  std::vector<bool> done;
+  std::vector<Task> tasks;  ///< empty once all are done
+  Committer::Record* record = nullptr;
+  [[nodiscard]] bool all_done() const { return tasks.empty(); }
+};
+
+struct Job {
+  std::string id;
+  std::uint64_t serial = 0;
+  wire::JobSpec spec;
+  sched::Amount need;
+  bool cancelled = false;
+  double submitted = 0;  ///< on this node's steady clock
+  std::map<std::uint32_t, std::unique_ptr<Block>> blocks;
+  std::uint32_t next_block = 0;  ///< first that is not in memory yet
+  std::uint32_t block_count = 0;
+  std::uint32_t finished_tasks = 0;
+  std::uint32_t on_hosts = 0;  ///< tasks that are or may be on machines
+  std::map<std::string, std::uint32_t> per_zone;
+  std::set<std::string> failed_on;
+  std::string zone_choice;  ///< for `together`
+  double failed_until = kNever;
+  int failures = 0;
+  [[nodiscard]] bool service() const { return spec.kind == wire::JobKind::service; }
+  [[nodiscard]] bool all_done() const { return finished_tasks == spec.tasks; }
+};
+
+/// An exited task as the last report has it, until it is cleared.
+struct Exited {
+  std::string job;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+};
+
+struct Host {
+  std::string id;
+  std::string addr;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  sched::Amount capacity;
+  std::uint64_t session = 0;
+  std::uint64_t tick = 0;
+  /// A report that carried this term's token was received: what it lists is
+  /// exact, what it does not list is not there.
+  bool synced = false;
+  bool heard = false;  ///< any report in this term
+  double last_report = kNever;
+  double last_answer = kNever;  ///< when a report was last answered with 200
+  /// Until then a former leader may have kept its lease alive.
+  double inherited_until = kNever;
+  std::optional<double> recall_at;
+  std::set<Task*> tasks;
+  sched::Amount used;      ///< by `tasks`, planned ones included
+  sched::Amount strangers; ///< by reported tasks that are not ours to count
+  bool foreign = false;    ///< reports tasks unknown to us
+  std::vector<Exited> exited;
+  std::vector<std::pair<Exited, bool>> stray;  ///< tasks to stop (false) there
+  std::deque<std::string> images;  ///< believed to be cached, latest last
+  std::set<std::string> failed_jobs;
+  bool quarantined = false;
+  bool releasing = false;
+  double release_tried = kNever;
+  bool listed = false;     ///< in the last whole machine list
+  bool listed_failed = false;
+  double listed_at = kNever;
+  double idle_since = kNever;
+  double rented_at = kNever;
+  Committer::Record* record = nullptr;
+  [[nodiscard]] bool recorded() const { return record != nullptr && record->stamp != 0; }
+  [[nodiscard]] sched::Amount room() const { return capacity - used - strangers; }
+};
+
+/// Jobs, machines and what they take, with every change of a task's place in
+/// one spot, so that usage, zones and records always agree with it.
+class Model {
+ public:
+  Model(const config::Settings& settings, Committer& committer) : settings_(settings), committer_(committer) {}
+
+  Job& add_job(const std::string& id, const ledger::JobRecord& record, double submitted);
+  void remove_job(const std::string& id);
+  [[nodiscard]] Job* job(const std::string& id);
+  [[nodiscard]] Job* job_of(sched::TaskId id);
+  [[nodiscard]] Task* task(sched::TaskId id);
+  /// The task, its block brought into memory if need be.
+  [[nodiscard]] Task* task(Job& job, std::uint32_t index);
+  Block& load_block(Job& job, std::uint32_t number, const ledger::Mirror::Block* stored);
+
+  Host& host(const std::string& id);
+  [[nodiscard]] Host* find_host(const std::string& id);
+  void remove_host(const std::string& id);
+  /// Deleted in this term: what still arrives from it is late.
+  [[nodiscard]] bool released(const std::string& id) const { return released_.contains(id); }
+  /// Capacity and name of the type, once both are known.
+  void set_flavors(std::vector<wire::Flavor> flavors);
+  [[nodiscard]] const wire::Flavor* flavor(const std::string& type) const;
+  void describe(Host& host, const std::string& type, const std::string& zone, bool spot, const std::string& addr);
+
+  void plan(Task& task, Host& host);
+  void unplan(Task& task);
+  /// Records host and a new attempt; `run` may be sent once that is written.
+  void assign(Task& task, Host& host, double now);
+  /// The task is certainly on no machine any more.
+  void release(Task& task);
+  void complete(Task& task);
+  /// Takes over an assignment found in the records.
+  void adopt(Task& task, Host& host, std::uint64_t attempt, double now);
+
+  [[nodiscard]] const sched::Amount& usage(const std::string& team) const;
+  [[nodiscard]] std::map<std::string, std::unique_ptr<Job>>& jobs() { return jobs_; }
+  [[nodiscard]] std::map<std::string, std::unique_ptr<Host>>& hosts() { return hosts_; }
+  [[nodiscard]] const std::vector<wire::Flavor>& flavors() const { return flavors_; }
+
+  /// Rules of placement, given everything that may be on machines now.
+  [[nodiscard]] bool allowed(const Job& job, const Host& host) const;
+  [[nodiscard]] bool within_quota(const Job& job) const;
+
+ private:
+  void attach(Task& task, Host& host);
+  void detach(Task& task);
+  void touch(Task& task);
+  [[nodiscard]] static ledger::BlockRecord record_of(const Block& block);
+
+  const config::Settings& settings_;
+  Committer& committer_;
+  std::vector<wire::Flavor> flavors_;
+  std::uint64_t next_serial_ = 1;
+  std::map<std::string, std::unique_ptr<Job>> jobs_;
+  std::map<std::uint64_t, Job*> by_serial_;
+  std::map<std::string, std::unique_ptr<Host>> hosts_;
+  std::map<std::string, sched::Amount> usage_;
+  std::set<std::string> released_;
+};
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/node.cpp
@@ -0,0 +1,341 @@
+#include "engine/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "config/constants.hpp"
+
+namespace elmstall::engine {
+
+namespace k = constants;
+using ledger::Outcome;
+
+Node::Node(const config::Settings& settings, Ports ports, std::string incarnation)
+    : settings_(settings),
+      runtime_(ports.runtime),
+      store_(ports.store),
+      cloud_(ports.cloud),
+      incarnation_(std::move(incarnation)),
+      queue_(ports.runtime, [this] { after_batch(); }),
+      scope_(queue_),
+      proof_(ports.runtime, queue_, ports.store, mirror_),
+      gateway_(settings, ports.runtime, queue_, ports.store, mirror_, proof_) {}
+
+void Node::start(mesh::Mesh& mesh) {
+  mesh_ = &mesh;
+  queue_.post([this] {
+    load("");
+    fetch_types();
+    tick();
+  });
+}
+
+void Node::on_request(net::Request request, net::Responder respond) {
+  queue_.post([this, request = std::move(request), respond = std::move(respond)]() mutable { handle(request, std::move(respond)); });
+}
+
+void Node::on_message(mesh::Message message) {
+  queue_.post([this, message = std::move(message)]() mutable {
+    if (const auto* news = std::get_if<mesh::Beat>(&message)) return on_beat(*news);
+    if (auto* report = std::get_if<mesh::ForwardedReport>(&message)) {
+      auto respond = [this, node = report->node, id = report->id](const net::Response& response) {
+        mesh_->send(node, mesh::ForwardedReply{id, response.status, response.body});
+      };
+      return on_report(report->body, std::move(respond), true);
+    }
+    const auto& reply = std::get<mesh::ForwardedReply>(message);
+    const auto found = forwarded_.find(reply.id);
+    if (found == forwarded_.end()) return;
+    auto respond = std::move(found->second.respond);
+    forwarded_.erase(found);
+    respond({reply.status, reply.body, 0});
+  });
+}
+
+// --- requests --------------------------------------------------------------------
+
+void Node::handle(const net::Request& request, net::Responder respond) {
+  constexpr std::string_view jobs = "/api/jobs";
+  constexpr std::string_view cancel = "/cancel";
+  const std::string path = request.path.substr(0, request.path.find('?'));
+  const auto only = [&](const char* method) {
+    if (request.method == method) return true;
+    respond({405, {}, 0});
+    return false;
+  };
+  if (path == "/ready") {
+    if (only("GET")) respond({ready() ? 200 : 503, {}, 0});
+  } else if (path == "/v1/report") {
+    if (only("POST")) on_report(request.body, std::move(respond), false);
+  } else if (path == jobs) {
+    if (only("POST")) gateway_.submit(request.body, std::move(respond));
+  } else if (path.starts_with(jobs) && path[jobs.size()] == '/') {
+    std::string id = path.substr(jobs.size() + 1);
+    if (id.ends_with(cancel)) {
+      id.resize(id.size() - cancel.size());
+      if (only("POST")) gateway_.cancel(id, std::move(respond));
+    } else if (only("GET")) {
+      gateway_.poll(id, std::move(respond));
+    }
+  } else {
+    respond({404, {}, 0});
+  }
+}
+
+void Node::on_report(const std::string& body, net::Responder respond, bool forwarded) {
+  wire::Report report;
+  try {
+    report = wire::decode_report(wire::Document::parse(body).root());
+  } catch (const wire::Malformed& error) {
+    spdlog::error("a worker's report can't be read: {}", error.what());
+    return respond({400, {}, 0});
+  }
+  if (leader_) return leader_->on_report(std::move(report), std::move(respond));
+  redirect(report.host, body, std::move(respond), forwarded);
+}
+
+void Node::redirect(const std::string& host, const std::string& body, net::Responder respond, bool forwarded) {
+  if (known_leader_.empty() || known_leader_ == settings_.node || forwarded) return respond({503, {}, 0});
+  auto& last = redirects_[host];
+  const double now = runtime_.now();
+  // A worker that is back so soon after a redirect could not reach the
+  // leader: perhaps we can.
+  const bool back = last.leader == known_leader_ && now - last.at < k::kRedirectMemory;
+  const bool peer_heard = now - peers_[known_leader_].heard < k::kPeerSilence;
+  if (back && peer_heard) {
+    last.at = now;
+    const auto id = next_forward_++;
+    forwarded_[id] = {std::move(respond), now + k::kForwardTimeout};
+    mesh_->send(known_leader_, mesh::ForwardedReport{settings_.node, id, body});
+    return;
+  }
+  last = {known_leader_, now};
+  respond({421, wire::encode_redirect(known_leader_), 0});
+}
+
+bool Node::state_reachable() const { return runtime_.now() - proof_.last_success() < k::kUnreadyAfter; }
+
+bool Node::ready() const {
+  if (!mirror_.loaded() || flavors_.empty()) return false;
+  if (state_reachable()) return true;
+  // Everybody sees the same outage: taking all nodes away helps nobody. Nodes
+  // that are silent don't count either way, but one witness is needed.
+  const double now = runtime_.now();
+  bool witness = false;
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard >= k::kPeerSilence) continue;
+    if (peer.state_reachable) return false;
+    witness = true;
+  }
+  return witness;
+}
+
+// --- the mirror --------------------------------------------------------------------
+
+void Node::load(const std::string& since) {
+  if (since.empty()) mirror_.restart();
+  store_.list(std::string(ledger::kLive), since, scope_.wrap([this, since](const ledger::ListResult& result) {
+    if (result.outcome != Outcome::ok) {
+      runtime_.after(k::kStateRetry, scope_.wrap([this, since] { load(since); }));
+      return;
+    }
+    mirror_.load(result.listing);
+    if (result.listing.truncated && !result.listing.entries.empty()) return load(result.listing.entries.back().key);
+    std::vector<ledger::Key> all;
+    for (const auto& [id, job] : mirror_.jobs()) all.push_back({ledger::Key::Kind::job, id, 0});
+    changed(all);
+    watch();
+  }));
+}
+
+void Node::watch() {
+  // Until the copy is whole, don't wait: nothing may change for long.
+  const double hold = mirror_.loaded() ? k::kWatchHold : 0;
+  store_.watch(std::string(ledger::kRoot), mirror_.follow_from(), hold, scope_.wrap([this](const ledger::WatchResult& result) {
+    switch (result.outcome) {
+      case Outcome::ok: {
+        changed(mirror_.apply(result.changes));
+        runtime_.after(leader_ ? k::kWatchPauseLeader : k::kWatchPauseFollower, scope_.wrap([this] { watch(); }));
+        return;
+      }
+      case Outcome::compacted:
+        return load("");
+      case Outcome::unknown:
+        return watch();
+      default:
+        runtime_.after(k::kStateRetry, scope_.wrap([this] { watch(); }));
+    }
+  }));
+}
+
+void Node::changed(const std::vector<ledger::Key>& keys) {
+  if (mirror_.lead()) learn_term(mirror_.lead()->term, mirror_.lead()->node);
+  learn_term(mirror_.term(), known_leader_);
+  if (leader_) leader_->on_change(keys);
+  if (flavors_.empty() && mirror_.types()) {
+    use_types(wire::decode_flavors(wire::Document::parse(mirror_.types()->packed).root()));
+  }
+  proof_.check();
+  elect();
+}
+
+// --- machine types -------------------------------------------------------------------
+
+void Node::fetch_types() {
+  cloud_.flavors(scope_.wrap([this](std::optional<std::vector<wire::Flavor>> flavors) {
+    if (flavors && !flavors->empty()) return use_types(std::move(*flavors));
+    runtime_.after(k::kTypesRetry, scope_.wrap([this] { fetch_types(); }));
+  }));
+}
+
+void Node::use_types(std::vector<wire::Flavor> flavors) {
+  flavors_ = std::move(flavors);
+  gateway_.set_flavors(flavors_);
+  if (leader_) leader_->set_flavors(flavors_);
+}
+
+// --- leadership ------------------------------------------------------------------------
+
+void Node::learn_term(std::uint64_t term, const std::string& leader) {
+  if (term > known_term_) known_leader_.clear();
+  if (term >= known_term_ && !leader.empty() && (term > known_term_ || known_leader_.empty())) known_leader_ = leader;
+  known_term_ = std::max(known_term_, term);
+  if (leader_ && leader_->term() < known_term_) lose("a higher term is known");
+}
+
+void Node::elect() {
+  if (leader_ || !mirror_.loaded()) return;
+  const auto& lead = mirror_.lead();
+  if (lead && lead->node == settings_.node && lead->incarnation == incarnation_) {
+    if (lead->term == mirror_.term() && lead->term >= known_term_ && standing_) win();
+    return;
+  }
+  // Free, or held by what this node was before it was restarted.
+  const bool open = !lead || lead->node == settings_.node;
+  if (!open || standing_) {
+    stand_at_ = -1;
+    return;
+  }
+  const double now = runtime_.now();
+  if (stand_at_ < 0) stand_at_ = now + runtime_.random() * k::kElectionJitter;
+  if (now >= stand_at_) stand();
+}
+
+void Node::stand() {
+  standing_ = true;
+  stand_at_ = -1;
+  stood_at_ = runtime_.now();
+  const auto give_up = [this] {
+    runtime_.after(k::kStateRetry, scope_.wrap([this] {
+      if (!leader_) standing_ = false;
+      elect();
+    }));
+  };
+  store_.grant(k::kLeadLease, scope_.wrap([this, give_up](const ledger::GrantResult& granted) {
+    if (granted.outcome != Outcome::ok) return give_up();
+    lease_ = granted.lease;
+    const auto term = mirror_.term() + 1;
+    wire::Txn txn;
+    txn.guards = {{std::string(ledger::kTermKey), mirror_.term_stamp()}, {std::string(ledger::kLeadKey), mirror_.lead_stamp()}};
+    txn.writes = {{std::string(ledger::kTermKey), ledger::encode(ledger::TermRecord{term}), 0},
+                  {std::string(ledger::kLeadKey), ledger::encode(ledger::LeadRecord{settings_.node, incarnation_, term}), lease_}};
+    stood_at_ = runtime_.now();
+    store_.commit(std::move(txn), ledger::Urgency::user, scope_.wrap([this, give_up](const ledger::CommitResult& result) {
+      // Won or not, the mirror will tell: it must hold all that came before
+      // this term in any case.
+      if (result.outcome != Outcome::ok) give_up();
+    }));
+  }));
+}
+
+void Node::win() {
+  Leader::Context context{settings_, runtime_, queue_, store_, cloud_, mirror_, [this] { lose("the term is over"); }};
+  leader_ = std::make_unique<Leader>(context, mirror_.term(), mirror_.term_stamp(), stood_at_);
+  known_term_ = mirror_.term();
+  known_leader_ = settings_.node;
+  types_recorded_ = false;
+  if (!flavors_.empty()) leader_->set_flavors(flavors_);
+  next_renew_ = 0;
+  beat();
+}
+
+void Node::lose(const char* why) {
+  if (!leader_) return;
+  spdlog::info("no longer leading in term {}: {}", leader_->term(), why);
+  leader_->resign();
+  leader_.reset();
+  standing_ = false;
+  if (known_leader_ == settings_.node) known_leader_.clear();
+}
+
+void Node::renew() {
+  const double sent = runtime_.now();
+  next_renew_ = sent + k::kRenewEvery;
+  store_.renew(lease_, scope_.wrap([this, term = leader_->term()](Outcome outcome) {
+    if (outcome == Outcome::missing && leader_ && leader_->term() == term) lose("the lease ran out");
+  }));
+  wire::Txn txn;
+  txn.guards = {{std::string(ledger::kTermKey), mirror_.term_stamp()}};
+  // The machine types ride along once, for nodes that start while the cloud
+  // does not answer.
+  if (!types_recorded_ && !flavors_.empty() && !mirror_.types()) {
+    txn.guards.push_back({std::string(ledger::kTypesKey), 0});
+    txn.writes.push_back({std::string(ledger::kTypesKey), wire::encode_flavors(flavors_), 0});
+  }
+  types_recorded_ = true;
+  store_.commit(std::move(txn), ledger::Urgency::user, scope_.wrap([this, sent, term = leader_->term()](const ledger::CommitResult& result) {
+    if (!leader_ || leader_->term() != term) return;
+    if (result.outcome == Outcome::ok) leader_->confirm(sent);
+    const bool deposed = std::find(result.failed.begin(), result.failed.end(), ledger::kTermKey) != result.failed.end();
+    if (result.outcome == Outcome::conflict && deposed) lose("the term is over");
+  }));
+}
+
+// --- mesh ------------------------------------------------------------------------------
+
+void Node::beat() {
+  next_beat_ = runtime_.now() + k::kBeatEvery;
+  mesh_->broadcast(mesh::Beat{settings_.node, known_term_, known_leader_, state_reachable()});
+}
+
+void Node::on_beat(const mesh::Beat& news) {
+  auto& peer = peers_[news.node];
+  peer.heard = runtime_.now();
+  peer.state_reachable = news.state_reachable;
+  learn_term(news.term, news.leader);
+}
+
+// --- time ------------------------------------------------------------------------------
+
+void Node::tick() {
+  const double now = runtime_.now();
+  runtime_.after(k::kTick, scope_.wrap([this] { tick(); }));
+  if (now >= next_probe_) {
+    next_probe_ = now + k::kProbeEvery;
+    proof_.request(k::kProbeEvery, [](bool) {});
+  }
+  proof_.check();
+  std::erase_if(redirects_, [&](const auto& entry) { return now - entry.second.at > k::kRedirectMemory; });
+  for (auto it = forwarded_.begin(); it != forwarded_.end();) {
+    if (now < it->second.until) {
+      ++it;
+      continue;
+    }
+    auto respond = std::move(it->second.respond);
+    it = forwarded_.erase(it);
+    respond({503, {}, 0});
+  }
+  elect();
+  if (leader_) {
+    if (now >= next_renew_) renew();
+    if (leader_) leader_->tick();
+  }
+  if (now >= next_beat_) beat();
+}
+
+void Node::after_batch() {
+  if (leader_) leader_->after_batch();
+}
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/node.hpp
@@ -0,0 +1,104 @@
+// One controller: the owner of all state of its process.
+#pragma once
+
+#include <memory>
+
+#include "engine/gateway.hpp"
+#include "engine/leader.hpp"
+#include "mesh/mesh.hpp"
+
+namespace elmstall::engine {
+
+class Node {
+ public:
+  struct Ports {
+    Runtime& runtime;
+    ledger::Store& store;
+    fleet::Cloud& cloud;
+  };
+
+  /// `incarnation`: differs from that of every earlier process of this node.
+  Node(const config::Settings& settings, Ports ports, std::string incarnation);
+
+  /// The mesh hands its messages to `on_message`, so it is made after the node.
+  void start(mesh::Mesh& mesh);
+  void on_request(net::Request request, net::Responder respond);
+  void on_message(mesh::Message message);
+
+  [[nodiscard]] bool ready() const;
+  [[nodiscard]] Leader* leader() { return leader_.get(); }
+  [[nodiscard]] const ledger::Mirror& mirror() const { return mirror_; }
+
+ private:
+  struct Peer {
+    double heard = -1e18;
+    bool state_reachable = true;
+  };
+  struct Forwarded {
+    net::Responder respond;
+    double until = 0;
+  };
+  struct Redirect {
+    std::string leader;
+    double at = -1e18;
+  };
+
+  void handle(const net::Request& request, net::Responder respond);
+  void on_report(const std::string& body, net::Responder respond, bool forwarded);
+  void redirect(const std::string& host, const std::string& body, net::Responder respond, bool forwarded);
+  void tick();
+  void after_batch();
+
+  // mirror
+  void load(const std::string& since);
+  void watch();
+  void changed(const std::vector<ledger::Key>& keys);
+
+  // machine types
+  void fetch_types();
+  void use_types(std::vector<wire::Flavor> flavors);
+
+  // leadership
+  void elect();
+  void stand();
+  void win();
+  void lose(const char* why);
+  void renew();
+  void learn_term(std::uint64_t term, const std::string& leader);
+
+  // mesh
+  void beat();
+  void on_beat(const mesh::Beat& beat);
+  [[nodiscard]] bool state_reachable() const;
+
+  const config::Settings& settings_;
+  Runtime& runtime_;
+  ledger::Store& store_;
+  fleet::Cloud& cloud_;
+  mesh::Mesh* mesh_ = nullptr;
+  std::string incarnation_;
+  CommandQueue queue_;
+  CommandScope scope_;
+  ledger::Mirror mirror_;
+  Proof proof_;
+  Gateway gateway_;
+  std::unique_ptr<Leader> leader_;
+  std::vector<wire::Flavor> flavors_;
+  bool types_recorded_ = false;
+
+  std::uint64_t known_term_ = 0;  ///< highest heard of, from records or peers
+  std::string known_leader_;
+  bool standing_ = false;
+  double stand_at_ = -1;
+  std::uint64_t lease_ = 0;
+  double stood_at_ = 0;  ///< when the request for leadership was sent
+  double next_renew_ = 0;
+  double next_beat_ = 0;
+  double next_probe_ = 0;
+  std::map<std::string, Peer> peers_;
+  std::map<std::uint64_t, Forwarded> forwarded_;
+  std::map<std::string, Redirect> redirects_;
+  std::uint64_t next_forward_ = 1;
+};
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/proof.cpp
@@ -0,0 +1,44 @@
+#include "engine/proof.hpp"
+
+#include <algorithm>
+
+namespace elmstall::engine {
+
+void Proof::request(double patience_s, Waiter waiter) {
+  next_.push_back({runtime_.now() + patience_s, 0, std::move(waiter)});
+  if (!probing_) probe();
+}
+
+void Proof::probe() {
+  probing_ = true;
+  std::vector<Waiting> covered;
+  covered.swap(next_);
+  store_.get(std::string(ledger::kProbeKey), scope_.wrap([this, covered](const ledger::GetResult& result) mutable {
+    probing_ = false;
+    if (result.outcome == ledger::Outcome::missing) {
+      last_success_ = runtime_.now();
+      for (auto& one : covered) {
+        one.revision = result.revision;
+        waiting_.push_back(std::move(one));
+      }
+    } else {
+      for (auto& one : covered) one.waiter(false);
+    }
+    check();
+    if (!next_.empty() && !probing_) probe();
+  }));
+}
+
+void Proof::check() {
+  const double now = runtime_.now();
+  std::vector<Waiting> ready;
+  std::vector<Waiting> left;
+  for (auto& one : waiting_) {
+    const bool current = mirror_.loaded() && mirror_.revision() >= one.revision;
+    (current || one.deadline <= now ? ready : left).push_back(std::move(one));
+  }
+  waiting_ = std::move(left);
+  for (auto& one : ready) one.waiter(mirror_.loaded() && mirror_.revision() >= one.revision);
+}
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/proof.hpp
@@ -0,0 +1,48 @@
+// Proof that the mirror is current, taken once for all who wait for it: one
+// cheap request tells the present revision, and answers wait until the
+// mirror has reached it.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "engine/queue.hpp"
+#include "ledger/mirror.hpp"
+#include "ledger/store.hpp"
+
+namespace elmstall::engine {
+
+class Proof {
+ public:
+  using Waiter = std::function<void(bool current)>;
+
+  Proof(Runtime& runtime, CommandQueue& queue, ledger::Store& store, const ledger::Mirror& mirror)
+      : runtime_(runtime), store_(store), mirror_(mirror), scope_(queue) {}
+
+  /// Calls back with true once the mirror holds all that was committed
+  /// before this call, or with false when that can't be shown in time.
+  void request(double patience_s, Waiter waiter);
+  /// To be called when the mirror moved, and now and then.
+  void check();
+  /// When the state service last answered; the request was sent before.
+  [[nodiscard]] double last_success() const { return last_success_; }
+
+ private:
+  struct Waiting {
+    double deadline = 0;
+    std::uint64_t revision = 0;
+    Waiter waiter;
+  };
+  void probe();
+
+  Runtime& runtime_;
+  ledger::Store& store_;
+  const ledger::Mirror& mirror_;
+  CommandScope scope_;
+  std::vector<Waiting> next_;     ///< wait for a probe to be sent
+  std::vector<Waiting> waiting_;  ///< know their revision
+  bool probing_ = false;
+  double last_success_ = -1e18;
+};
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/fleet/cloud.hpp
@@ -0,0 +1,30 @@
+// What the rest of the program needs of the cloud.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wire/types.hpp"
+
+namespace elmstall::fleet {
+
+struct RentResult {
+  enum class Outcome : std::uint8_t { ok, no_capacity, unavailable, unknown, rejected };
+  Outcome outcome = Outcome::unknown;
+  std::vector<std::string> hosts;
+};
+
+class Cloud {
+ public:
+  virtual ~Cloud() = default;
+  virtual void flavors(std::function<void(std::optional<std::vector<wire::Flavor>>)> done) = 0;
+  virtual void list(const std::string& since, std::function<void(std::optional<wire::CloudPage>)> done) = 0;
+  virtual void rent(const std::string& name, const std::string& type, const std::string& zone, bool spot, int count,
+                    std::function<void(RentResult)> done) = 0;
+  /// True: the machines and everything on them are gone.
+  virtual void release(const std::vector<std::string>& hosts, std::function<void(bool)> done) = 0;
+};
+
+}  // namespace elmstall::fleet
--- /dev/null
+++ b/src/fleet/cloud_client.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <asio.hpp>
+
+#include "fleet/cloud.hpp"
+#include "net/http_client.hpp"
+
+namespace elmstall::fleet {
+
+class CloudClient : public Cloud {
+ public:
+  CloudClient(asio::io_context& io, const asio::ip::tcp::endpoint& endpoint);
+
+  void flavors(std::function<void(std::optional<std::vector<wire::Flavor>>)> done) override;
+  void list(const std::string& since, std::function<void(std::optional<wire::CloudPage>)> done) override;
+  void rent(const std::string& name, const std::string& type, const std::string& zone, bool spot, int count,
+            std::function<void(RentResult)> done) override;
+  void release(const std::vector<std::string>& hosts, std::function<void(bool)> done) override;
+
+ private:
+  net::HttpClient client_;
+};
+
+}  // namespace elmstall::fleet
--- /dev/null
+++ b/src/ledger/mirror.cpp
@@ -0,0 +1,158 @@
+#include "ledger/mirror.hpp"
+
+#include "config/constants.hpp"
+
+namespace elmstall::ledger {
+
+void Mirror::restart() {
+  listed_ = false;
+  first_page_ = true;
+  revision_ = listed_revision_ = 0;
+  term_ = term_stamp_ = 0;
+  lead_.reset();
+  types_.reset();
+  jobs_.clear();
+  blocks_.clear();
+  hosts_.clear();
+}
+
+void Mirror::load(const wire::Listing& page) {
+  // Pages are read one after the other, so a later page may be newer. The
+  // watch starts at the first page's revision and replays what lies between;
+  // only when it has passed the last page's revision is the copy whole.
+  if (first_page_) revision_ = page.revision;
+  first_page_ = false;
+  listed_revision_ = std::max(listed_revision_, page.revision);
+  for (const auto& entry : page.entries) put(parse_key(entry.key), entry.value, entry.stamp);
+  listed_ = !page.truncated;
+}
+
+std::vector<Key> Mirror::apply(const wire::Changes& changes) {
+  std::vector<Key> touched;
+  for (const auto& change : changes.log) {
+    auto key = parse_key(change.key);
+    // A page that was read later may hold a newer value than this change.
+    if (change.stamp < stamp_of(key)) continue;
+    if (change.value) put(key, *change.value, change.stamp);
+    else erase(key);
+    touched.push_back(std::move(key));
+  }
+  revision_ = std::max(revision_, changes.revision);
+  return touched;
+}
+
+std::uint64_t Mirror::stamp_of(const Key& key) const {
+  switch (key.kind) {
+    case Key::Kind::term: return term_stamp_;
+    case Key::Kind::lead: return lead_stamp();
+    case Key::Kind::types: return types_ ? types_->stamp : 0;
+    case Key::Kind::job: {
+      const auto* found = job(key.id);
+      return found == nullptr ? 0 : found->stamp;
+    }
+    case Key::Kind::block: {
+      const auto* found = blocks(key.id);
+      if (found == nullptr) return 0;
+      const auto one = found->find(key.number);
+      return one == found->end() ? 0 : one->second.stamp;
+    }
+    case Key::Kind::host: {
+      const auto found = hosts_.find(key.id);
+      return found == hosts_.end() ? 0 : found->second.stamp;
+    }
+    default: return 0;
+  }
+}
+
+void Mirror::put(const Key& key, const std::string& packed, std::uint64_t stamp) {
+  switch (key.kind) {
+    case Key::Kind::term:
+      term_ = decode_term(packed).term;
+      term_stamp_ = stamp;
+      break;
+    case Key::Kind::lead:
+      lead_ = decode_lead(packed);
+      lead_stamp_ = stamp;
+      break;
+    case Key::Kind::types:
+      types_ = Value{packed, stamp};
+      break;
+    case Key::Kind::job:
+      jobs_[key.id] = {decode_job(packed), stamp};
+      break;
+    case Key::Kind::block: {
+      const auto record = decode_block(packed);
+      blocks_[key.id][key.number] = {stamp, packed, record.done_count(), record.assigned_count()};
+      break;
+    }
+    case Key::Kind::host:
+      hosts_[key.id] = {packed, stamp};
+      break;
+    case Key::Kind::final:
+      remember_final(key.id, decode_final(packed));
+      break;
+    case Key::Kind::other:
+      break;
+  }
+}
+
+void Mirror::erase(const Key& key) {
+  switch (key.kind) {
+    case Key::Kind::lead: lead_.reset(); break;
+    case Key::Kind::job: jobs_.erase(key.id); break;
+    case Key::Kind::host: hosts_.erase(key.id); break;
+    case Key::Kind::block: {
+      const auto found = blocks_.find(key.id);
+      if (found == blocks_.end()) break;
+      found->second.erase(key.number);
+      if (found->second.empty()) blocks_.erase(found);
+      break;
+    }
+    default: break;
+  }
+}
+
+const Mirror::Job* Mirror::job(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const std::map<std::uint32_t, Mirror::Block>* Mirror::blocks(const std::string& id) const {
+  const auto found = blocks_.find(id);
+  return found == blocks_.end() ? nullptr : &found->second;
+}
+
+std::optional<FinalRecord> Mirror::final_state(const std::string& id) const {
+  const auto found = finals_.find(id);
+  if (found == finals_.end()) return std::nullopt;
+  return found->second;
+}
+
+void Mirror::remember_final(const std::string& id, const FinalRecord& record) {
+  if (finals_.emplace(id, record).second) final_order_.push_back(id);
+  if (final_order_.size() > constants::kFinalCache) {
+    finals_.erase(final_order_.front());
+    final_order_.pop_front();
+  }
+}
+
+wire::JobStatus Mirror::status(const std::string& id) const {
+  wire::JobStatus status{id, wire::JobState::queued, 0, 0};
+  if (const auto last = final_state(id)) {
+    status.state = last->state;
+    status.done = last->state == wire::JobState::done ? last->tasks : 0;
+    return status;
+  }
+  if (const auto* found = blocks(id)) {
+    for (const auto& [number, block] : *found) {
+      status.done += block.done;
+      status.running += block.assigned;
+    }
+  }
+  if (status.running > 0) status.state = wire::JobState::running;
+  const auto* record = job(id);
+  if (record != nullptr && record->record.cancelled) status.state = wire::JobState::cancelled;
+  return status;
+}
+
+}  // namespace elmstall::ledger
--- /dev/null
+++ b/src/ledger/mirror.hpp
@@ -0,0 +1,80 @@
+// A node's copy of the live records, kept current by a watch. Pure: the
+// owner feeds it listings and changes.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "ledger/records.hpp"
+
+namespace elmstall::ledger {
+
+class Mirror {
+ public:
+  struct Value {
+    std::string packed;
+    std::uint64_t stamp = 0;
+  };
+  struct Block {
+    std::uint64_t stamp = 0;
+    std::string packed;
+    std::size_t done = 0;
+    std::size_t assigned = 0;
+  };
+  struct Job {
+    JobRecord record;
+    std::uint64_t stamp = 0;
+  };
+
+  /// Forgets the live records; final states are kept, they never change.
+  void restart();
+  /// One page of the listing of live records.
+  void load(const wire::Listing& page);
+  /// After the last page: changes must be followed from here.
+  [[nodiscard]] std::uint64_t follow_from() const { return revision_; }
+  /// Returns the keys that changed.
+  std::vector<Key> apply(const wire::Changes& changes);
+
+  /// True once the watch has reached every page of the listing.
+  [[nodiscard]] bool loaded() const { return listed_ && revision_ >= listed_revision_; }
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+
+  [[nodiscard]] const Job* job(const std::string& id) const;
+  [[nodiscard]] const std::map<std::string, Job>& jobs() const { return jobs_; }
+  [[nodiscard]] const std::map<std::uint32_t, Block>* blocks(const std::string& id) const;
+  [[nodiscard]] const std::unordered_map<std::string, std::map<std::uint32_t, Block>>& all_blocks() const { return blocks_; }
+  [[nodiscard]] const std::map<std::string, Value>& hosts() const { return hosts_; }
+  [[nodiscard]] std::optional<FinalRecord> final_state(const std::string& id) const;
+  void remember_final(const std::string& id, const FinalRecord& record);
+  [[nodiscard]] std::uint64_t term() const { return term_; }
+  [[nodiscard]] std::uint64_t term_stamp() const { return term_stamp_; }
+  [[nodiscard]] const std::optional<LeadRecord>& lead() const { return lead_; }
+  [[nodiscard]] std::uint64_t lead_stamp() const { return lead_ ? lead_stamp_ : 0; }
+  [[nodiscard]] const std::optional<Value>& types() const { return types_; }
+  [[nodiscard]] wire::JobStatus status(const std::string& id) const;
+
+ private:
+  void put(const Key& key, const std::string& packed, std::uint64_t stamp);
+  void erase(const Key& key);
+  [[nodiscard]] std::uint64_t stamp_of(const Key& key) const;
+
+  bool listed_ = false;
+  bool first_page_ = true;
+  std::uint64_t revision_ = 0;
+  std::uint64_t listed_revision_ = 0;
+  std::uint64_t term_ = 0;
+  std::uint64_t term_stamp_ = 0;
+  std::optional<LeadRecord> lead_;
+  std::uint64_t lead_stamp_ = 0;
+  std::optional<Value> types_;
+  std::map<std::string, Job> jobs_;
+  std::unordered_map<std::string, std::map<std::uint32_t, Block>> blocks_;
+  std::map<std::string, Value> hosts_;
+  std::unordered_map<std::string, FinalRecord> finals_;
+  std::deque<std::string> final_order_;
+};
+
+}  // namespace elmstall::ledger
--- /dev/null
+++ b/src/ledger/records.hpp
@@ -0,0 +1,94 @@
+// What is kept in the state service, and under which keys.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/types.hpp"
+
+namespace elmstall::ledger {
+
+// Everything lies under one prefix, so that one watch sees it all in order.
+// Live records have a prefix of their own: recovery reads only these, and
+// its cost does not grow with history.
+inline constexpr std::string_view kRoot = "elm/";
+inline constexpr std::string_view kLive = "elm/l/";
+inline constexpr std::string_view kTermKey = "elm/l/term";
+inline constexpr std::string_view kLeadKey = "elm/l/lead";
+inline constexpr std::string_view kTypesKey = "elm/l/types";
+/// Never written: reading it tells the present revision, cheaply.
+inline constexpr std::string_view kProbeKey = "elm/none";
+
+[[nodiscard]] std::string job_key(std::string_view id);
+[[nodiscard]] std::string block_key(std::string_view id, std::uint32_t number);
+[[nodiscard]] std::string host_key(std::string_view id);
+[[nodiscard]] std::string final_key(std::string_view id);
+
+/// A key taken apart.
+struct Key {
+  enum class Kind : std::uint8_t { other, term, lead, types, job, block, host, final };
+  Kind kind = Kind::other;
+  std::string id;
+  std::uint32_t number = 0;
+};
+[[nodiscard]] Key parse_key(std::string_view key);
+
+struct TermRecord {
+  std::uint64_t term = 0;
+};
+struct LeadRecord {
+  std::string node;
+  std::string incarnation;
+  std::uint64_t term = 0;
+};
+struct JobRecord {
+  wire::JobSpec spec;
+  bool cancelled = false;
+  double submitted = 0;  ///< time of day, seconds since 1970
+};
+/// One unfinished task that was assigned at least once.
+struct TaskRecord {
+  std::uint32_t index = 0;  ///< within the job
+  std::uint64_t attempt = 0;
+  std::string host;  ///< empty: on no machine
+};
+/// A run of tasks of one job.
+struct BlockRecord {
+  std::vector<bool> done;  ///< one per task of the block
+  std::vector<TaskRecord> tasks;
+  [[nodiscard]] std::size_t done_count() const;
+  [[nodiscard]] std::size_t assigned_count() const;
+};
+struct HostRecord {
+  std::string addr;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+};
+/// The last word on a job.
+struct FinalRecord {
+  wire::JobState state = wire::JobState::done;
+  std::uint64_t tasks = 0;
+};
+
+[[nodiscard]] std::string encode(const TermRecord& record);
+[[nodiscard]] std::string encode(const LeadRecord& record);
+[[nodiscard]] std::string encode(const JobRecord& record);
+[[nodiscard]] std::string encode(const BlockRecord& record);
+[[nodiscard]] std::string encode(const HostRecord& record);
+[[nodiscard]] std::string encode(const FinalRecord& record);
+
+[[nodiscard]] TermRecord decode_term(std::string_view packed);
+[[nodiscard]] LeadRecord decode_lead(std::string_view packed);
+[[nodiscard]] JobRecord decode_job(std::string_view packed);
+[[nodiscard]] BlockRecord decode_block(std::string_view packed);
+[[nodiscard]] HostRecord decode_host(std::string_view packed);
+[[nodiscard]] FinalRecord decode_final(std::string_view packed);
+
+/// Tasks per block so that a full block fits one value.
+[[nodiscard]] std::uint32_t block_size(double value_kb);
+
+}  // namespace elmstall::ledger
--- /dev/null
+++ b/src/mesh/mesh.hpp
@@ -0,0 +1,20 @@
+// Messages between controllers. None is relied upon: all may be lost.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "mesh/messages.hpp"
+
+namespace elmstall::mesh {
+
+class Mesh {
+ public:
+  virtual ~Mesh() = default;
+  virtual void broadcast(const Message& message) = 0;
+  virtual void send(const std::string& node, const Message& message) = 0;
+};
+
+using Receiver = std::function<void(Message)>;
+
+}  // namespace elmstall::mesh
--- /dev/null
+++ b/src/mesh/messages.cpp
@@ -0,0 +1,24 @@
+#include "mesh/messages.hpp"
+
+#include <sstream>
+
+namespace elmstall::mesh {
+
+std::string encode(const Message& message) {
+  std::ostringstream out(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(message);
+  }
+  return std::move(out).str();
+}
+
+Message decode(std::string_view bytes) {
+  std::istringstream in{std::string(bytes), std::ios::binary};
+  cereal::PortableBinaryInputArchive archive(in);
+  Message message;
+  archive(message);
+  return message;
+}
+
+}  // namespace elmstall::mesh
--- /dev/null
+++ b/src/mesh/tcp_mesh.hpp
@@ -0,0 +1,40 @@
+// Mesh over TCP: each node keeps one connection to every other node and only
+// writes to it; frames are a 4-byte length and a cereal message.
+#pragma once
+
+#include <asio.hpp>
+#include <map>
+#include <memory>
+#include <unordered_set>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "mesh/mesh.hpp"
+
+namespace elmstall::mesh {
+
+class TcpMesh : public Mesh {
+ public:
+  TcpMesh(asio::io_context& io, const asio::ip::tcp::endpoint& listen, const std::vector<config::Peer>& peers, Receiver receiver);
+  ~TcpMesh() override;
+
+  void broadcast(const Message& message) override;
+  void send(const std::string& node, const Message& message) override;
+
+ private:
+  class Outgoing;
+  class Incoming;
+  struct Shared {
+    Receiver receiver;
+    std::unordered_set<Incoming*> incoming;
+    std::size_t max_incoming = 0;
+    bool closed = false;
+  };
+  void accept();
+
+  std::shared_ptr<Shared> shared_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::map<std::string, std::shared_ptr<Outgoing>> peers_;
+};
+
+}  // namespace elmstall::mesh
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,245 @@
+#include "net/http_server.hpp"
+
+#include <http_parser.h>
+
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <unordered_set>
+
+#include "config/constants.hpp"
+
+namespace elmstall::net {
+namespace {
+
+std::chrono::milliseconds ms(double seconds) { return std::chrono::milliseconds(static_cast<long>(seconds * 1000)); }
+
+std::string_view reason(int status) {
+  return http_status_str(static_cast<http_status>(status));
+}
+
+std::string head(const Response& response, bool close) {
+  std::string text = "HTTP/1.1 " + std::to_string(response.status) + " " + std::string(reason(response.status)) + "\r\n";
+  text += "Content-Type: " + response.content_type + "\r\nContent-Length: " + std::to_string(response.body.size()) + "\r\n";
+  if (response.retry_after_s > 0) text += "Retry-After: " + std::to_string(response.retry_after_s) + "\r\n";
+  if (close) text += "Connection: close\r\n";
+  text += "\r\n";
+  return text;
+}
+
+}  // namespace
+
+asio::ip::tcp::endpoint parse_endpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) throw std::invalid_argument("no port in '" + std::string(text) + "'");
+  std::uint16_t port = 0;
+  const auto digits = text.substr(colon + 1);
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc() || end != digits.data() + digits.size()) {
+    throw std::invalid_argument("bad port in '" + std::string(text) + "'");
+  }
+  asio::error_code code;
+  const auto address = asio::ip::make_address(std::string(text.substr(0, colon)), code);
+  if (code) throw std::invalid_argument("bad address in '" + std::string(text) + "'");
+  return {address, port};
+}
+
+struct HttpServer::Shared {
+  ServerLimits limits;
+  Handler handler;
+  std::unordered_set<Session*> sessions;
+  bool closed = false;
+};
+
+class HttpServer::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(asio::ip::tcp::socket socket, std::shared_ptr<Shared> shared)
+      : socket_(std::move(socket)), timer_(socket_.get_executor()), shared_(std::move(shared)) {
+    http_parser_init(&parser_, HTTP_REQUEST);
+    parser_.data = this;
+    shared_->sessions.insert(this);
+  }
+  ~Session() { shared_->sessions.erase(this); }
+
+  void start() {
+    arm(constants::kIdleTimeout);
+    read();
+  }
+
+  void close() {
+    asio::error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+  }
+
+ private:
+  void arm(double seconds) {
+    timer_.expires_after(ms(seconds));
+    timer_.async_wait([weak = weak_from_this()](asio::error_code error) {
+      if (error) return;
+      if (auto self = weak.lock()) self->close();
+    });
+  }
+
+  void read() {
+    socket_.async_read_some(asio::buffer(chunk_), [self = shared_from_this()](asio::error_code error, std::size_t size) {
+      if (error) return self->close();
+      self->feed(size);
+    });
+  }
+
+  void feed(std::size_t size) {
+    if (!in_message_) {
+      in_message_ = true;
+      arm(constants::kRequestReadTimeout);
+    }
+    const std::size_t used = http_parser_execute(&parser_, &settings(), chunk_.data(), size);
+    if (complete_) {
+      // Pipelining does not occur in the protocol; whatever follows a request
+      // before its answer is refused by closing after the answer.
+      if (used < size) keep_alive_ = false;
+      return dispatch();
+    }
+    if (too_large_) return refuse(413, "the body is larger than 64 KiB");
+    if (headers_too_large_) return refuse(431, "the header fields are too large");
+    if (used != size || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) return refuse(400, "malformed HTTP");
+    read();
+  }
+
+  void refuse(int status, const char* text) {
+    keep_alive_ = false;
+    send({status, text, 0, "text/plain"});
+  }
+
+  void dispatch() {
+    timer_.cancel();
+    Request request{http_method_str(static_cast<http_method>(parser_.method)), std::move(path_), std::move(body_)};
+    auto answered = std::make_shared<bool>(false);
+    shared_->handler(std::move(request), [weak = weak_from_this(), answered, self = shared_from_this()](Response response) {
+      if (*answered) return;
+      *answered = true;
+      self->send(std::move(response));
+    });
+  }
+
+  void send(Response response) {
+    if (!socket_.is_open()) return;
+    arm(constants::kRequestReadTimeout);
+    out_ = head(response, !keep_alive_) + response.body;
+    asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](asio::error_code error, std::size_t) {
+      if (error || !self->keep_alive_) return self->close();
+      self->next();
+    });
+  }
+
+  void next() {
+    http_parser_init(&parser_, HTTP_REQUEST);
+    parser_.data = this;
+    path_.clear();
+    body_.clear();
+    header_bytes_ = 0;
+    complete_ = in_message_ = false;
+    arm(constants::kIdleTimeout);
+    read();
+  }
+
+  static const http_parser_settings& settings() {
+    static const http_parser_settings callbacks = [] {
+      http_parser_settings s;
+      http_parser_settings_init(&s);
+      s.on_url = [](http_parser* p, const char* at, std::size_t n) { return self(p).on_path(at, n); };
+      s.on_header_field = [](http_parser* p, const char*, std::size_t n) { return self(p).on_header(n); };
+      s.on_header_value = [](http_parser* p, const char*, std::size_t n) { return self(p).on_header(n); };
+      s.on_headers_complete = [](http_parser* p) { return self(p).on_headers_complete(); };
+      s.on_body = [](http_parser* p, const char* at, std::size_t n) { return self(p).on_body(at, n); };
+      s.on_message_complete = [](http_parser* p) { return self(p).on_complete(); };
+      return s;
+    }();
+    return callbacks;
+  }
+
+  static Session& self(http_parser* parser) { return *static_cast<Session*>(parser->data); }
+
+  int on_path(const char* at, std::size_t n) {
+    path_.append(at, n);
+    return on_header(n);
+  }
+  int on_header(std::size_t n) {
+    header_bytes_ += n;
+    headers_too_large_ = header_bytes_ > constants::kMaxHeaderBytes;
+    return headers_too_large_ ? 1 : 0;
+  }
+  int on_headers_complete() {
+    const auto length = parser_.content_length;
+    too_large_ = length != ULLONG_MAX && length > shared_->limits.body_bytes;
+    return too_large_ ? -1 : 0;
+  }
+  int on_body(const char* at, std::size_t n) {
+    too_large_ = body_.size() + n > shared_->limits.body_bytes;
+    if (too_large_) return 1;
+    body_.append(at, n);
+    return 0;
+  }
+  int on_complete() {
+    complete_ = true;
+    keep_alive_ = http_should_keep_alive(&parser_) != 0;
+    http_parser_pause(&parser_, 1);
+    return 0;
+  }
+
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::shared_ptr<Shared> shared_;
+  http_parser parser_{};
+  std::array<char, 4096> chunk_{};
+  std::string path_;
+  std::string body_;
+  std::string out_;
+  std::size_t header_bytes_ = 0;
+  bool in_message_ = false;
+  bool complete_ = false;
+  bool too_large_ = false;
+  bool headers_too_large_ = false;
+  bool keep_alive_ = true;
+};
+
+HttpServer::HttpServer(asio::io_context& io, const asio::ip::tcp::endpoint& endpoint, ServerLimits limits, Handler handler)
+    : shared_(std::make_shared<Shared>()), acceptor_(io), pause_(io) {
+  shared_->limits = limits;
+  shared_->handler = std::move(handler);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen();
+  accept();
+}
+
+HttpServer::~HttpServer() {
+  shared_->closed = true;
+  for (auto* session : std::unordered_set<Session*>(shared_->sessions)) session->close();
+}
+
+std::uint16_t HttpServer::port() const { return acceptor_.local_endpoint().port(); }
+std::size_t HttpServer::connections() const { return shared_->sessions.size(); }
+
+void HttpServer::accept() {
+  acceptor_.async_accept([this, shared = shared_](asio::error_code error, asio::ip::tcp::socket socket) {
+    if (shared->closed || error == asio::error::operation_aborted) return;
+    if (error) {
+      // Out of sockets, most likely: a short pause instead of a busy loop.
+      pause_.expires_after(std::chrono::milliseconds(100));
+      pause_.async_wait([this, shared](asio::error_code waited) {
+        if (!waited && !shared->closed) accept();
+      });
+      return;
+    }
+    if (shared->sessions.size() < shared->limits.connections) {
+      asio::error_code ignored;
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      std::make_shared<Session>(std::move(socket), shared)->start();
+    }
+    accept();
+  });
+}
+
+}  // namespace elmstall::net
--- /dev/null
+++ b/src/net/http_server.hpp
@@ -0,0 +1,58 @@
+// HTTP/1.1 server on one Asio loop. Knows nothing of jobs.
+#pragma once
+
+#include <asio.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace elmstall::net {
+
+struct Request {
+  std::string method;
+  std::string path;
+  std::string body;
+};
+
+struct Response {
+  int status = 200;
+  std::string body;
+  int retry_after_s = 0;  ///< 0: no such header
+  std::string content_type = "application/msgpack";
+};
+
+/// Called once, at once or any time later on the same loop.
+using Responder = std::function<void(Response)>;
+using Handler = std::function<void(Request, Responder)>;
+
+struct ServerLimits {
+  std::size_t connections = 256;
+  std::size_t body_bytes = 0;
+};
+
+[[nodiscard]] asio::ip::tcp::endpoint parse_endpoint(std::string_view text);
+
+class HttpServer {
+ public:
+  /// Throws std::system_error when the address can't be had.
+  HttpServer(asio::io_context& io, const asio::ip::tcp::endpoint& endpoint, ServerLimits limits, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  [[nodiscard]] std::uint16_t port() const;
+  [[nodiscard]] std::size_t connections() const;
+
+ private:
+  class Session;
+  struct Shared;
+  void accept();
+
+  std::shared_ptr<Shared> shared_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer pause_;
+};
+
+}  // namespace elmstall::net
--- /dev/null
+++ b/src/sched/resources.hpp
@@ -0,0 +1,57 @@
+// Amounts that tasks take of machines and of their team's limits.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "config/settings.hpp"
+
+namespace elmstall::sched {
+
+struct Amount {
+  double cpus = 0;
+  double gpus = 0;
+  double memory_gb = 0;
+
+  Amount& operator+=(const Amount& other) {
+    cpus += other.cpus;
+    gpus += other.gpus;
+    memory_gb += other.memory_gb;
+    return *this;
+  }
+  Amount& operator-=(const Amount& other) { return *this += other * -1.0; }
+  friend Amount operator+(Amount a, const Amount& b) { return a += b; }
+  friend Amount operator-(Amount a, const Amount& b) { return a -= b; }
+  friend Amount operator*(const Amount& a, double factor) { return {a.cpus * factor, a.gpus * factor, a.memory_gb * factor}; }
+
+  /// Sums of decimal amounts are off in the last digits.
+  static constexpr double kSlack = 1e-6;
+  [[nodiscard]] bool fits(const Amount& room) const {
+    return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack && memory_gb <= room.memory_gb + kSlack;
+  }
+  /// Largest share of `whole` that this takes in any dimension.
+  [[nodiscard]] double share_of(const Amount& whole) const {
+    const auto part = [](double a, double b) { return a <= 0 ? 0.0 : b <= 0 ? 1e9 : a / b; };
+    return std::max({part(cpus, whole.cpus), part(gpus, whole.gpus), part(memory_gb, whole.memory_gb)});
+  }
+};
+
+/// True if `used` stays within the team's hard limit. 0 means no limit.
+[[nodiscard]] inline bool within_limit(const config::Team& team, const Amount& used) {
+  return (team.cpus_max <= 0 || used.cpus <= team.cpus_max + Amount::kSlack) &&
+         (team.gpus_max <= 0 || used.gpus <= team.gpus_max + Amount::kSlack);
+}
+
+/// True if the team has a guarantee and `used` lies within it. A guarantee of
+/// 0 in one dimension means none there; with none at all nothing is guaranteed.
+[[nodiscard]] inline bool within_guarantee(const config::Team& team, const Amount& used) {
+  if (team.cpus <= 0 && team.gpus <= 0) return false;
+  return (team.cpus <= 0 || used.cpus <= team.cpus + Amount::kSlack) &&
+         (team.gpus <= 0 || used.gpus <= team.gpus + Amount::kSlack);
+}
+
+/// Largest number of tasks in one zone under `scatter`.
+[[nodiscard]] inline std::size_t scatter_limit(std::size_t tasks) { return (tasks + 1) / 2; }
+
+}  // namespace elmstall::sched
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,182 @@
+#include "wire/codec.hpp"
+
+#include <cmath>
+
+#include "config/constants.hpp"
+
+namespace elmstall::wire {
+namespace {
+
+std::string_view view(const Object& object) { return {object.via.str.ptr, object.via.str.size}; }
+
+void check(const Object& object) {
+  switch (object.type) {
+    case msgpack::type::BIN:
+    case msgpack::type::EXT:
+      throw Malformed("binary data is not allowed");
+    case msgpack::type::FLOAT32:
+    case msgpack::type::FLOAT64:
+      if (!std::isfinite(object.via.f64)) throw Malformed("a number is not finite");
+      break;
+    case msgpack::type::ARRAY:
+      for (const auto& item : object.via.array) check(item);
+      break;
+    case msgpack::type::MAP:
+      for (const auto& pair : object.via.map) {
+        if (pair.key.type != msgpack::type::STR) throw Malformed("a map key is not text");
+        check(pair.val);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+std::string field_error(std::string_view key, std::string_view problem) {
+  return "field '" + std::string(key) + "' " + std::string(problem);
+}
+
+}  // namespace
+
+Fields::Fields(const Object& object) : object_(object) {
+  if (object.type != msgpack::type::MAP) throw Malformed("not a map");
+}
+
+const Object* Fields::find(std::string_view key) const {
+  for (const auto& pair : object_.via.map) {
+    if (view(pair.key) == key) return pair.val.is_nil() ? nullptr : &pair.val;
+  }
+  return nullptr;
+}
+
+const Object& Fields::require(std::string_view key) const {
+  const Object* value = find(key);
+  if (value == nullptr) throw Malformed(field_error(key, "is missing"));
+  return *value;
+}
+
+std::string Fields::text(std::string_view key) const { return as_text(require(key), key); }
+
+std::optional<std::string> Fields::maybe_text(std::string_view key) const {
+  const Object* value = find(key);
+  if (value == nullptr) return std::nullopt;
+  return as_text(*value, key);
+}
+
+double Fields::number(std::string_view key) const { return as_number(require(key), key); }
+
+std::optional<double> Fields::maybe_number(std::string_view key) const {
+  const Object* value = find(key);
+  if (value == nullptr) return std::nullopt;
+  return as_number(*value, key);
+}
+
+std::uint64_t Fields::integer(std::string_view key) const { return as_integer(require(key), key); }
+
+std::uint64_t Fields::integer_or(std::string_view key, std::uint64_t fallback) const {
+  const Object* value = find(key);
+  return value == nullptr ? fallback : as_integer(*value, key);
+}
+
+bool Fields::flag_or(std::string_view key, bool fallback) const {
+  const Object* value = find(key);
+  if (value == nullptr) return fallback;
+  if (value->type != msgpack::type::BOOLEAN) throw Malformed(field_error(key, "is not a boolean"));
+  return value->via.boolean;
+}
+
+std::pair<const Object*, const Object*> elements(const Object* object, std::string_view what) {
+  if (object == nullptr) return {nullptr, nullptr};
+  if (object->type != msgpack::type::ARRAY) throw Malformed(field_error(what, "is not a list"));
+  return {object->via.array.ptr, object->via.array.ptr + object->via.array.size};
+}
+
+std::string as_text(const Object& object, std::string_view what) {
+  if (object.type != msgpack::type::STR) throw Malformed(field_error(what, "is not text"));
+  return std::string(view(object));
+}
+
+std::uint64_t as_integer(const Object& object, std::string_view what) {
+  if (object.type != msgpack::type::POSITIVE_INTEGER) throw Malformed(field_error(what, "is not a count"));
+  return object.via.u64;
+}
+
+double as_number(const Object& object, std::string_view what) {
+  switch (object.type) {
+    case msgpack::type::POSITIVE_INTEGER:
+      return static_cast<double>(object.via.u64);
+    case msgpack::type::NEGATIVE_INTEGER:
+      return static_cast<double>(object.via.i64);
+    case msgpack::type::FLOAT32:
+    case msgpack::type::FLOAT64:
+      return object.via.f64;
+    default:
+      throw Malformed(field_error(what, "is not a number"));
+  }
+}
+
+Document Document::parse(std::string_view bytes) {
+  Document document;
+  try {
+    std::size_t offset = 0;
+    const auto size = bytes.size();
+    // Containers can't have more members than the message has bytes: a
+    // forged length must not make us allocate for it.
+    const msgpack::unpack_limit limit(size, size, size, size, size, constants::kMaxDepth);
+    msgpack::unpack(document.handle_, bytes.data(), size, offset, nullptr, nullptr, limit);
+    if (offset != size) throw Malformed("trailing bytes");
+  } catch (const Malformed&) {
+    throw;
+  } catch (const std::exception&) {
+    throw Malformed("not MessagePack");
+  }
+  check(document.root());
+  return document;
+}
+
+Packer& Packer::map(std::size_t size) { packer_.pack_map(static_cast<std::uint32_t>(size)); return *this; }
+Packer& Packer::list(std::size_t size) { packer_.pack_array(static_cast<std::uint32_t>(size)); return *this; }
+Packer& Packer::text(std::string_view value) {
+  packer_.pack_str(static_cast<std::uint32_t>(value.size()));
+  packer_.pack_str_body(value.data(), static_cast<std::uint32_t>(value.size()));
+  return *this;
+}
+Packer& Packer::integer(std::uint64_t value) { packer_.pack(value); return *this; }
+Packer& Packer::number(double value) { packer_.pack_double(value); return *this; }
+Packer& Packer::flag(bool value) {
+  if (value) packer_.pack_true(); else packer_.pack_false();
+  return *this;
+}
+Packer& Packer::null() { packer_.pack_nil(); return *this; }
+Packer& Packer::raw(std::string_view packed) { buffer_.write(packed.data(), packed.size()); return *this; }
+Packer& Packer::object(const Object& value) { packer_.pack(value); return *this; }
+
+std::size_t json_size(const Object& object) {
+  switch (object.type) {
+    case msgpack::type::STR:
+      return object.via.str.size + 2;
+    case msgpack::type::ARRAY: {
+      std::size_t total = 2;
+      for (const auto& item : object.via.array) total += json_size(item) + 1;
+      return total;
+    }
+    case msgpack::type::MAP: {
+      std::size_t total = 2;
+      for (const auto& pair : object.via.map) total += json_size(pair.key) + json_size(pair.val) + 2;
+      return total;
+    }
+    case msgpack::type::FLOAT32:
+    case msgpack::type::FLOAT64:
+      return 24;
+    default:
+      return 20;
+  }
+}
+
+std::string pack_object(const Object& object) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, object);
+  return {buffer.data(), buffer.size()};
+}
+
+}  // namespace elmstall::wire
