--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -49,6 +49,8 @@
   next_list_ = now + k::kListEvery;
   for (auto& [id, host] : model_.hosts()) host->listed = false;
   for (const auto& entry : listed_) {
+    // The list is late: what we deleted may stand in it for a while.
+    if (model_.released(entry.id)) continue;
     const bool known = model_.find_host(entry.id) != nullptr;
     auto& host = model_.host(entry.id);
     if (host.type.empty()) model_.describe(host, entry.type, entry.zone, entry.spot, entry.addr);
