--- a/src/engine/gateway.cpp
+++ b/src/engine/gateway.cpp
@@ -1,5 +1,7 @@
 #include "engine/gateway.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 #include "config/constants.hpp"
@@ -96,6 +98,7 @@
     const auto document = wire::Document::parse(body);
     call->spec = wire::decode_job(document.root());
   } catch (const wire::Malformed& error) {
+    spdlog::info("a submission is malformed: {}", error.what());
     return refuse(call, 400, error.what());
   }
   call->id = call->spec.id;
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -83,6 +83,7 @@
   double failed_until = kNever;
   int failures = 0;
   [[nodiscard]] bool service() const { return spec.kind == wire::JobKind::service; }
+  [[nodiscard]] bool gang() const { return spec.kind == wire::JobKind::gang; }
   [[nodiscard]] bool all_done() const { return finished_tasks == spec.tasks; }
 };
 
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -257,6 +257,10 @@
   });
   for (auto* job : waiting) {
     choose_zone(*job, now);
+    if (job->gang()) {
+      place_gang(*job, now);
+      continue;
+    }
     for (std::uint32_t number = 0; number < job->block_count; ++number) {
       auto& block = model_.load_block(*job, number, nullptr);
       bool stuck = false;
@@ -277,6 +281,31 @@
   }
 }
 
+void Planner::place_gang(Job& job, double now) {
+  // All that wait or none: a gang with a member missing only holds room.
+  std::vector<Task*> waiting;
+  for (std::uint32_t number = 0; number < job.block_count; ++number) {
+    for (auto& task : model_.load_block(job, number, nullptr).tasks) {
+      if (task.phase == Phase::pending) waiting.push_back(&task);
+    }
+  }
+  std::vector<Task*> placed;
+  for (auto* task : waiting) {
+    const bool free = task->not_before <= now && model_.within_quota(job);
+    const auto place = free ? best_host(job, now, false) : std::nullopt;
+    if (!place) {
+      for (auto* other : placed) model_.unplan(*other);
+      return;
+    }
+    model_.plan(*task, *place->host);
+    placed.push_back(task);
+  }
+  for (auto* task : placed) {
+    auto& host = *task->host;
+    model_.assign(*task, host, now);
+  }
+}
+
 bool Planner::start_on(Host& host, double now) {
   const auto may = [&](sched::TaskId id) {
     const auto* task = model_.task(id);
--- a/src/engine/planner.hpp
+++ b/src/engine/planner.hpp
@@ -31,11 +31,12 @@
   void enlist(Job& job, std::vector<Task*> tasks);
   void settle_planned(double now);
   void place_direct(double now);
+  void place_gang(Job& job, double now);
   void start_heads(double now);
   bool start_on(Host& host, double now);
   void relieve_guarantees(double now);
 
-  [[nodiscard]] bool direct(const Job& job) const { return job.service() || job.spec.together; }
+  [[nodiscard]] bool direct(const Job& job) const { return job.service() || job.gang() || job.spec.together; }
   [[nodiscard]] bool startable(const Task& task, const Host& host, double now) const;
   [[nodiscard]] bool may_run(const Job& job, const Host& host) const;
   [[nodiscard]] std::optional<Candidate> best_host(const Job& job, double now, bool may_preempt);
--- a/src/wire/types.cpp
+++ b/src/wire/types.cpp
@@ -17,6 +17,16 @@
   throw Malformed("field '" + std::string(field) + "' has no such value: " + std::string(text.substr(0, 40)));
 }
 
+/// As above, for what workers say: a word that is new to us must not cost the
+/// whole report, which would let the worker's lease run out.
+template <typename Enum, std::size_t N>
+Enum pick_or(const std::array<std::pair<std::string_view, Enum>, N>& names, std::string_view text, Enum fallback) {
+  for (const auto& [name, value] : names) {
+    if (name == text) return value;
+  }
+  return fallback;
+}
+
 template <typename Enum, std::size_t N>
 std::string_view name_of(const std::array<std::pair<std::string_view, Enum>, N>& names, Enum wanted) {
   for (const auto& [name, value] : names) {
@@ -25,8 +35,8 @@
   return {};
 }
 
-constexpr std::array<std::pair<std::string_view, JobKind>, 2> kKinds{
-    {{"batch", JobKind::array}, {"daemon", JobKind::service}}};
+constexpr std::array<std::pair<std::string_view, JobKind>, 3> kKinds{
+    {{"batch", JobKind::array}, {"daemon", JobKind::service}, {"group", JobKind::gang}}};
 constexpr std::array<std::pair<std::string_view, Priority>, 4> kPriorities{
     {{"critical", Priority::critical}, {"high", Priority::high}, {"normal", Priority::normal}, {"idle", Priority::idle}}};
 constexpr std::array<std::pair<std::string_view, JobState>, 4> kJobStates{
@@ -77,9 +87,9 @@
   const auto [stop, error] = std::from_chars(name.data() + slash + 1, end, task.index);
   if (error != std::errc() || stop != end) throw Malformed("a task name has no number");
   task.attempt = fields.integer("try");
-  task.state = pick(kTaskStates, fields.text("status"), "status");
+  task.state = pick_or(kTaskStates, fields.text("status"), TaskState::other);
   if (task.state == TaskState::ended) {
-    task.cause = pick(kCauses, fields.text("cause"), "cause");
+    task.cause = pick_or(kCauses, fields.maybe_text("cause").value_or(""), EndCause::other);
     task.saved = fields.flag_or("kept", false);
   }
   return task;
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -12,7 +12,9 @@
 
 namespace elmstall::wire {
 
-enum class JobKind : std::uint8_t { array, service };
+/// A gang is an array whose tasks run at the same time. The protocol page
+/// names only the other two, but the platform's own trial run submits gangs.
+enum class JobKind : std::uint8_t { array, service, gang };
 enum class Priority : std::uint8_t { idle, normal, high, critical };
 enum class JobState : std::uint8_t { queued, running, done, cancelled };
 
@@ -54,8 +56,8 @@
 [[nodiscard]] std::string_view to_text(JobState state);
 [[nodiscard]] std::string encode_status(const JobStatus& status, bool with_counts);
 
-enum class TaskState : std::uint8_t { fetching, running, saving, ended };
-enum class EndCause : std::uint8_t { none, done, stopped, error, no_room, in_use, unknown };
+enum class TaskState : std::uint8_t { fetching, running, saving, ended, other };
+enum class EndCause : std::uint8_t { none, done, stopped, error, no_room, in_use, unknown, other };
 
 /// One task as a worker reports it.
 struct TaskReport {
