Caretakers keep a cut-off zone's leases alive; elections check again before they commit

Elections: a rival's win between grant and commit was overlooked, so that two terms followed each other at start.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -69,9 +69,9 @@
 
 // --- mesh --------------------------------------------------------------------
 /// Seconds. Interval of heartbeats between controllers.
-inline constexpr double kBeatEvery = 1.0;
+inline constexpr double kBeatEvery = 0.8;
 /// Seconds. A peer not heard from for this long counts as unreachable.
-inline constexpr double kPeerSilence = 3.5;
+inline constexpr double kPeerSilence = 2.6;
 /// Bytes. Largest message between controllers.
 inline constexpr std::size_t kMaxMeshBytes = 256 * 1024;
 /// Seconds. A worker that comes back within this time after a redirect could
@@ -80,6 +80,17 @@
 /// Seconds. Longest wait for the leader's answer to a forwarded report.
 inline constexpr double kForwardTimeout = 3.0;
 
+// --- caretakers --------------------------------------------------------------
+/// Seconds. Life of the state lease on a caretaker's record.
+inline constexpr double kCareLease = 4.0;
+/// Seconds taken off that life: a caretaker falls silent before its record
+/// can be gone.
+inline constexpr double kCareMargin = 0.5;
+/// Seconds. Oldest knowledge of cancellations a caretaker may act on.
+inline constexpr double kCareKnowledge = 5.0;
+/// Seconds. How long the leader must be heard again before the care ends.
+inline constexpr double kCareEnd = 1.5;
+
 // --- engine ------------------------------------------------------------------
 /// Seconds. Interval of the engine's periodic work.
 inline constexpr double kTick = 0.25;
--- a/src/engine/committer.cpp
+++ b/src/engine/committer.cpp
@@ -95,6 +95,7 @@
       pending.txn.guards.push_back({ledger::job_key(record.job), job->stamp});
     }
     pending.txn.guards.push_back({record.key, record.stamp});
+    for (const auto& key : record.absent) pending.txn.guards.push_back({key, 0});
     pending.txn.writes.push_back({record.key, std::move(value), 0});
     pending.bytes += bytes * 2;
     pending.records.emplace_back(record.key, record.version);
@@ -124,10 +125,10 @@
     case Outcome::conflict:
       for (const auto& key : result.failed) {
         if (key == ledger::kTermKey) return events_.deposed();
-        // A job's record is written by every node: the watch brings its new
-        // stamp. All other keys are ours alone, so an earlier transaction of
-        // ours, thought lost, was applied after all.
-        if (ledger::parse_key(key).kind == ledger::Key::Kind::job) wait_revision_ = std::max(wait_revision_, result.revision);
+        // Records of jobs and caretakers are written by every node: the watch
+        // brings their new stamps. All other keys are ours alone, so an
+        // earlier transaction of ours, thought lost, was applied after all.
+        if (const auto kind = ledger::parse_key(key).kind; kind == ledger::Key::Kind::job || kind == ledger::Key::Kind::care) wait_revision_ = std::max(wait_revision_, result.revision);
         else keys.insert(key);
       }
       return refresh(std::move(keys));
--- a/src/engine/committer.hpp
+++ b/src/engine/committer.hpp
@@ -30,6 +30,8 @@
     std::uint64_t version = 0;
     std::uint64_t written = 0;
     bool remove = false;
+    /// Keys that must not exist when this record is written.
+    std::vector<std::string> absent;
     [[nodiscard]] bool clean() const { return written == version; }
   };
   /// The last word on a job, written together with the removal of its
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -31,7 +31,24 @@
   rebuild();
 }
 
-bool Leader::entitled() const { return context_.runtime.now() - confirmed_ < context_.settings.authority_s(); }
+bool Leader::entitled() const {
+  // Both the term and what is known of cancellations must be recent enough.
+  const double known = std::min(confirmed_, context_.proof.current_as_of());
+  return context_.runtime.now() - known < context_.settings.authority_s();
+}
+
+double Leader::inherited_until() const {
+  // Whoever led before may have answered reports until its authority ran
+  // out, and what it answered last keeps a lease alive that much longer.
+  const auto& settings = context_.settings;
+  return started_ + settings.authority_s() + settings.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
+}
+
+Committer::Record* Leader::host_record(Host& host, std::uint64_t stamp) {
+  return committer_.add(ledger::host_key(host.id), stamp, "", [&host] {
+    return ledger::encode(ledger::HostRecord{host.addr, host.type, host.zone, host.spot, host.retired});
+  });
+}
 
 void Leader::set_flavors(const std::vector<wire::Flavor>& flavors) { model_.set_flavors(flavors); }
 
@@ -39,18 +56,13 @@
 
 void Leader::rebuild() {
   const auto& mirror = context_.mirror;
-  const auto& settings = context_.settings;
-  // Whoever led before may have answered reports until its authority ran
-  // out, and what it answered last keeps a lease alive that much longer.
-  const double inherited = started_ + settings.authority_s() + settings.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
   for (const auto& [id, value] : mirror.hosts()) {
     const auto record = ledger::decode_host(value.packed);
     auto& host = model_.host(id);
     model_.describe(host, record.type, record.zone, record.spot, record.addr);
-    host.inherited_until = inherited;
-    host.record = committer_.add(ledger::host_key(id), value.stamp, "", [&host] {
-      return ledger::encode(ledger::HostRecord{host.addr, host.type, host.zone, host.spot});
-    });
+    host.inherited_until = inherited_until();
+    host.retired = record.retired;
+    host.record = host_record(host, value.stamp);
   }
   for (const auto& [id, job] : mirror.jobs()) add_job(id, job.record);
   sweep_orphans();
@@ -73,7 +85,7 @@
   for (const auto& known : ledger::decode_block(stored.packed).tasks) {
     if (known.host.empty() || known.index < block.first || known.index - block.first >= block.tasks.size()) continue;
     auto& host = model_.host(known.host);
-    if (host.inherited_until == kNever) host.inherited_until = started_ + context_.settings.authority_s() + context_.settings.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
+    if (host.inherited_until == kNever) host.inherited_until = inherited_until();
     model_.adopt(block.tasks[known.index - block.first], host, known.attempt, started_);
   }
   if (std::all_of(block.done.begin(), block.done.end(), [](bool done) { return done; })) block.tasks.clear();
@@ -90,6 +102,7 @@
 }
 
 void Leader::on_change(const std::vector<ledger::Key>& keys) {
+  note_caretakers(context_.runtime.now());
   for (const auto& key : keys) {
     if (key.kind != ledger::Key::Kind::job) continue;
     const auto* stored = context_.mirror.job(key.id);
@@ -147,14 +160,46 @@
   host.foreign = false;
 }
 
+void Leader::note_caretakers(double now) {
+  for (auto& [id, host] : model_.hosts()) {
+    const bool cared = std::any_of(context_.mirror.cares().begin(), context_.mirror.cares().end(),
+                                   [&](const auto& care) { return care.second.first == host->zone; });
+    // Also in the moment it ends: until now it may have answered.
+    if (cared || host->cared) host->cared_at = now;
+    host->cared = cared;
+    if (cared) unretire(*host);
+  }
+}
+
+void Leader::retire(Host& host) {
+  host.retired = true;
+  // Nobody may become a caretaker without seeing this, and whoever is one
+  // already makes it fail.
+  for (const auto& peer : context_.settings.peers) host.record->absent.push_back(ledger::care_key(peer.name));
+  committer_.touch(*host.record);
+}
+
+void Leader::unretire(Host& host) {
+  if (!host.retired || host.record == nullptr) return;
+  host.retired = false;
+  host.record->absent.clear();
+  committer_.touch(*host.record);
+}
+
 void Leader::expire_hosts(double now) {
   const double lease = context_.settings.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
   for (auto& [id, host] : model_.hosts()) {
     if (host->tasks.empty()) continue;
     // Held answers count as given: they may go out at any moment.
     if (held_.contains(id)) continue;
-    const double alive_until = std::max(host->inherited_until, host->last_answer == kNever ? kNever : host->last_answer + lease);
-    if (alive_until == kNever || now < alive_until) continue;
+    const double alive_until = std::max({host->inherited_until, host->last_answer + lease, host->cared_at + lease});
+    if (alive_until == kNever || now < alive_until || host->cared || host->record == nullptr) continue;
+    if (!host->retired) {
+      retire(*host);
+      continue;
+    }
+    // Written, and the mirror has passed that point without a caretaker.
+    if (!host->record->clean() || context_.mirror.revision() < host->record->stamp) continue;
     host_gone(*host, "its lease is over");
     host->synced = false;
   }
@@ -181,9 +226,7 @@
 void Leader::read_report(Host& host, const wire::Report& report, double now) {
   model_.describe(host, report.type, report.zone, report.spot, report.addr);
   if (host.record == nullptr) {
-    host.record = committer_.add(ledger::host_key(host.id), 0, "", [&host] {
-      return ledger::encode(ledger::HostRecord{host.addr, host.type, host.zone, host.spot});
-    });
+    host.record = host_record(host, 0);
     committer_.touch(*host.record);
     spdlog::info("host {} ({} in {}{}) reports", host.id, host.type, host.zone, host.spot ? ", spot" : "");
   }
@@ -191,6 +234,7 @@
   // that is new to this term no session is known, but the records may name
   // tasks: those that it does not report are settled once it is synchronised.
   if (host.heard && report.session > host.session) host_gone(host, "its session ended");
+  unretire(host);
   host.heard = true;
   host.session = report.session;
   host.tick = report.tick;
@@ -370,6 +414,7 @@
 }
 
 void Leader::tick() {
+  note_caretakers(context_.runtime.now());
   expire_hosts(context_.runtime.now());
   fleet_.tick();
 }
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -4,6 +4,7 @@
 
 #include "engine/fleet_keeper.hpp"
 #include "engine/planner.hpp"
+#include "engine/proof.hpp"
 #include "net/http_server.hpp"
 
 namespace elmstall::engine {
@@ -17,6 +18,7 @@
     ledger::Store& store;
     fleet::Cloud& cloud;
     const ledger::Mirror& mirror;
+    const Proof& proof;
     std::function<void()> deposed;
   };
 
@@ -53,7 +55,12 @@
   void cancel(Job& job);
   void close_jobs();
   void host_gone(Host& host, const char* why);
+  void note_caretakers(double now);
   void expire_hosts(double now);
+  void retire(Host& host);
+  void unretire(Host& host);
+  [[nodiscard]] Committer::Record* host_record(Host& host, std::uint64_t stamp);
+  [[nodiscard]] double inherited_until() const;
 
   void read_report(Host& host, const wire::Report& report, double now);
   void read_task(Host& host, const wire::TaskReport& report, double now);
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -111,6 +111,11 @@
   double last_answer = kNever;  ///< when a report was last answered with 200
   /// Until then a former leader may have kept its lease alive.
   double inherited_until = kNever;
+  /// A caretaker may be answering it.
+  bool cared = false;
+  double cared_at = kNever;
+  /// Recorded as such; its tasks are gone once that is written.
+  bool retired = false;
   std::optional<double> recall_at;
   std::set<Task*> tasks;
   sched::Amount used;      ///< by `tasks`, planned ones included
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -20,7 +20,8 @@
       queue_(ports.runtime, [this] { after_batch(); }),
       scope_(queue_),
       proof_(ports.runtime, queue_, ports.store, mirror_),
-      gateway_(settings, ports.runtime, queue_, ports.store, mirror_, proof_) {}
+      gateway_(settings, ports.runtime, queue_, ports.store, mirror_, proof_),
+      caretaker_(settings, ports.runtime, queue_, ports.store, mirror_, proof_) {}
 
 void Node::start(mesh::Mesh& mesh) {
   mesh_ = &mesh;
@@ -92,18 +93,24 @@
     return respond({400, {}, 0});
   }
   if (leader_) return leader_->on_report(std::move(report), std::move(respond));
-  redirect(report.host, body, std::move(respond), forwarded);
+  redirect(std::move(report), body, std::move(respond), forwarded);
 }
 
-void Node::redirect(const std::string& host, const std::string& body, net::Responder respond, bool forwarded) {
+bool Node::leader_heard() const {
+  if (leader_) return true;
+  const auto found = peers_.find(known_leader_);
+  return found != peers_.end() && runtime_.now() - found->second.heard < k::kPeerSilence;
+}
+
+void Node::redirect(wire::Report report, const std::string& body, net::Responder respond, bool forwarded) {
   if (known_leader_.empty() || known_leader_ == settings_.node || forwarded) return respond({503, {}, 0});
-  auto& last = redirects_[host];
+  if (caretaker_.active() || !leader_heard()) return caretaker_.on_report(std::move(report), std::move(respond));
+  auto& last = redirects_[report.host];
   const double now = runtime_.now();
   // A worker that is back so soon after a redirect could not reach the
   // leader: perhaps we can.
   const bool back = last.leader == known_leader_ && now - last.at < k::kRedirectMemory;
-  const bool peer_heard = now - peers_[known_leader_].heard < k::kPeerSilence;
-  if (back && peer_heard) {
+  if (back) {
     last.at = now;
     const auto id = next_forward_++;
     forwarded_[id] = {std::move(respond), now + k::kForwardTimeout};
@@ -204,6 +211,12 @@
   if (leader_ && leader_->term() < known_term_) lose("a higher term is known");
 }
 
+bool Node::leadership_open() const {
+  // Free, or held by what this node was before it was restarted.
+  const auto& lead = mirror_.lead();
+  return !lead || (lead->node == settings_.node && lead->incarnation != incarnation_);
+}
+
 void Node::elect() {
   if (leader_ || !mirror_.loaded()) return;
   const auto& lead = mirror_.lead();
@@ -211,9 +224,7 @@
     if (lead->term == mirror_.term() && lead->term >= known_term_ && standing_) win();
     return;
   }
-  // Free, or held by what this node was before it was restarted.
-  const bool open = !lead || lead->node == settings_.node;
-  if (!open || standing_) {
+  if (!leadership_open() || standing_) {
     stand_at_ = -1;
     return;
   }
@@ -234,6 +245,8 @@
   };
   store_.grant(k::kLeadLease, scope_.wrap([this, give_up](const ledger::GrantResult& granted) {
     if (granted.outcome != Outcome::ok) return give_up();
+    // Somebody else may have won while the lease was asked for.
+    if (!leadership_open()) return give_up();
     lease_ = granted.lease;
     const auto term = mirror_.term() + 1;
     wire::Txn txn;
@@ -250,7 +263,7 @@
 }
 
 void Node::win() {
-  Leader::Context context{settings_, runtime_, queue_, store_, cloud_, mirror_, [this] { lose("the term is over"); }};
+  Leader::Context context{settings_, runtime_, queue_, store_, cloud_, mirror_, proof_, [this] { lose("the term is over"); }};
   leader_ = std::make_unique<Leader>(context, mirror_.term(), mirror_.term_stamp(), stood_at_);
   known_term_ = mirror_.term();
   known_leader_ = settings_.node;
@@ -327,6 +340,7 @@
     respond({503, {}, 0});
   }
   elect();
+  caretaker_.tick(leader_heard());
   if (leader_) {
     if (now >= next_renew_) renew();
     if (leader_) leader_->tick();
--- a/src/engine/node.hpp
+++ b/src/engine/node.hpp
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "engine/caretaker.hpp"
 #include "engine/gateway.hpp"
 #include "engine/leader.hpp"
 #include "mesh/mesh.hpp"
@@ -45,7 +46,8 @@
 
   void handle(const net::Request& request, net::Responder respond);
   void on_report(const std::string& body, net::Responder respond, bool forwarded);
-  void redirect(const std::string& host, const std::string& body, net::Responder respond, bool forwarded);
+  void redirect(wire::Report report, const std::string& body, net::Responder respond, bool forwarded);
+  [[nodiscard]] bool leader_heard() const;
   void tick();
   void after_batch();
 
@@ -59,6 +61,7 @@
   void use_types(std::vector<wire::Flavor> flavors);
 
   // leadership
+  [[nodiscard]] bool leadership_open() const;
   void elect();
   void stand();
   void win();
@@ -82,6 +85,7 @@
   ledger::Mirror mirror_;
   Proof proof_;
   Gateway gateway_;
+  Caretaker caretaker_;
   std::unique_ptr<Leader> leader_;
   std::vector<wire::Flavor> flavors_;
   bool types_recorded_ = false;
--- a/src/engine/proof.cpp
+++ b/src/engine/proof.cpp
@@ -5,7 +5,7 @@
 namespace elmstall::engine {
 
 void Proof::request(double patience_s, Waiter waiter) {
-  next_.push_back({runtime_.now() + patience_s, 0, std::move(waiter)});
+  next_.push_back({runtime_.now(), runtime_.now() + patience_s, 0, std::move(waiter)});
   if (!probing_) probe();
 }
 
@@ -38,7 +38,11 @@
     (current || one.deadline <= now ? ready : left).push_back(std::move(one));
   }
   waiting_ = std::move(left);
-  for (auto& one : ready) one.waiter(mirror_.loaded() && mirror_.revision() >= one.revision);
+  for (auto& one : ready) {
+    const bool current = mirror_.loaded() && mirror_.revision() >= one.revision;
+    if (current) current_as_of_ = std::max(current_as_of_, one.asked);
+    one.waiter(current);
+  }
 }
 
 }  // namespace elmstall::engine
--- a/src/engine/proof.hpp
+++ b/src/engine/proof.hpp
@@ -24,11 +24,14 @@
   void request(double patience_s, Waiter waiter);
   /// To be called when the mirror moved, and now and then.
   void check();
+  /// The mirror held all that was committed before this moment.
+  [[nodiscard]] double current_as_of() const { return current_as_of_; }
   /// When the state service last answered; the request was sent before.
   [[nodiscard]] double last_success() const { return last_success_; }
 
  private:
   struct Waiting {
+    double asked = 0;
     double deadline = 0;
     std::uint64_t revision = 0;
     Waiter waiter;
@@ -43,6 +46,7 @@
   std::vector<Waiting> waiting_;  ///< know their revision
   bool probing_ = false;
   double last_success_ = -1e18;
+  double current_as_of_ = -1e18;
 };
 
 }  // namespace elmstall::engine
--- a/src/ledger/mirror.cpp
+++ b/src/ledger/mirror.cpp
@@ -14,6 +14,7 @@
   jobs_.clear();
   blocks_.clear();
   hosts_.clear();
+  cares_.clear();
 }
 
 void Mirror::load(const wire::Listing& page) {
@@ -60,6 +61,10 @@
       const auto found = hosts_.find(key.id);
       return found == hosts_.end() ? 0 : found->second.stamp;
     }
+    case Key::Kind::care: {
+      const auto found = cares_.find(key.id);
+      return found == cares_.end() ? 0 : found->second.second;
+    }
     default: return 0;
   }
 }
@@ -88,6 +93,9 @@
     case Key::Kind::host:
       hosts_[key.id] = {packed, stamp};
       break;
+    case Key::Kind::care:
+      cares_[key.id] = {decode_care(packed).zone, stamp};
+      break;
     case Key::Kind::final:
       remember_final(key.id, decode_final(packed));
       break;
@@ -101,6 +109,7 @@
     case Key::Kind::lead: lead_.reset(); break;
     case Key::Kind::job: jobs_.erase(key.id); break;
     case Key::Kind::host: hosts_.erase(key.id); break;
+    case Key::Kind::care: cares_.erase(key.id); break;
     case Key::Kind::block: {
       const auto found = blocks_.find(key.id);
       if (found == blocks_.end()) break;
--- a/src/ledger/mirror.hpp
+++ b/src/ledger/mirror.hpp
@@ -47,6 +47,8 @@
   [[nodiscard]] const std::map<std::uint32_t, Block>* blocks(const std::string& id) const;
   [[nodiscard]] const std::unordered_map<std::string, std::map<std::uint32_t, Block>>& all_blocks() const { return blocks_; }
   [[nodiscard]] const std::map<std::string, Value>& hosts() const { return hosts_; }
+  /// Zone of every node that is a caretaker, by node.
+  [[nodiscard]] const std::map<std::string, std::pair<std::string, std::uint64_t>>& cares() const { return cares_; }
   [[nodiscard]] std::optional<FinalRecord> final_state(const std::string& id) const;
   void remember_final(const std::string& id, const FinalRecord& record);
   [[nodiscard]] std::uint64_t term() const { return term_; }
@@ -73,6 +75,7 @@
   std::map<std::string, Job> jobs_;
   std::unordered_map<std::string, std::map<std::uint32_t, Block>> blocks_;
   std::map<std::string, Value> hosts_;
+  std::map<std::string, std::pair<std::string, std::uint64_t>> cares_;  ///< zone and stamp
   std::unordered_map<std::string, FinalRecord> finals_;
   std::deque<std::string> final_order_;
 };
--- a/src/ledger/records.cpp
+++ b/src/ledger/records.cpp
@@ -11,6 +11,7 @@
 constexpr std::string_view kJobs = "elm/l/job/";
 constexpr std::string_view kBlocks = "elm/l/block/";
 constexpr std::string_view kHosts = "elm/l/host/";
+constexpr std::string_view kCares = "elm/l/care/";
 constexpr std::string_view kFinals = "elm/f/";
 
 std::string joined(std::string_view prefix, std::string_view id) { return std::string(prefix).append(id); }
@@ -45,6 +46,7 @@
   return joined(kBlocks, id).append("/").append(std::to_string(number));
 }
 std::string host_key(std::string_view id) { return joined(kHosts, id); }
+std::string care_key(std::string_view node) { return joined(kCares, node); }
 std::string final_key(std::string_view id) { return joined(kFinals, id); }
 
 Key parse_key(std::string_view key) {
@@ -54,6 +56,7 @@
   if (key == kTypesKey) return {Key::Kind::types, {}, 0};
   if (key.starts_with(kJobs)) return {Key::Kind::job, rest(kJobs), 0};
   if (key.starts_with(kHosts)) return {Key::Kind::host, rest(kHosts), 0};
+  if (key.starts_with(kCares)) return {Key::Kind::care, rest(kCares), 0};
   if (key.starts_with(kFinals)) return {Key::Kind::final, rest(kFinals), 0};
   if (key.starts_with(kBlocks)) {
     Key parsed{Key::Kind::block, rest(kBlocks), 0};
@@ -104,11 +107,16 @@
 
 std::string encode(const HostRecord& record) {
   wire::Packer packer;
-  packer.map(4).key("addr").text(record.addr).key("type").text(record.type).key("zone").text(record.zone);
-  packer.key("spot").flag(record.spot);
+  packer.map(5).key("addr").text(record.addr).key("type").text(record.type).key("zone").text(record.zone);
+  packer.key("spot").flag(record.spot).key("retired").flag(record.retired);
   return packer.take();
 }
 
+std::string encode(const CareRecord& record) {
+  wire::Packer packer;
+  return packer.map(1).key("zone").text(record.zone).take();
+}
+
 std::string encode(const FinalRecord& record) {
   wire::Packer packer;
   packer.map(2).key("state").text(wire::to_text(record.state)).key("tasks").integer(record.tasks);
@@ -149,9 +157,12 @@
 HostRecord decode_host(std::string_view packed) {
   const auto document = wire::Document::parse(packed);
   const auto fields = document.fields();
-  return {fields.text("addr"), fields.text("type"), fields.text("zone"), fields.flag_or("spot", false)};
+  return {fields.text("addr"), fields.text("type"), fields.text("zone"), fields.flag_or("spot", false),
+          fields.flag_or("retired", false)};
 }
 
+CareRecord decode_care(std::string_view packed) { return {wire::Document::parse(packed).fields().text("zone")}; }
+
 FinalRecord decode_final(std::string_view packed) {
   const auto document = wire::Document::parse(packed);
   const auto fields = document.fields();
--- a/src/ledger/records.hpp
+++ b/src/ledger/records.hpp
@@ -25,11 +25,13 @@
 [[nodiscard]] std::string job_key(std::string_view id);
 [[nodiscard]] std::string block_key(std::string_view id, std::uint32_t number);
 [[nodiscard]] std::string host_key(std::string_view id);
+/// Says that this node may keep leases of its zone alive, see Caretaker.
+[[nodiscard]] std::string care_key(std::string_view node);
 [[nodiscard]] std::string final_key(std::string_view id);
 
 /// A key taken apart.
 struct Key {
-  enum class Kind : std::uint8_t { other, term, lead, types, job, block, host, final };
+  enum class Kind : std::uint8_t { other, term, lead, types, job, block, host, care, final };
   Kind kind = Kind::other;
   std::string id;
   std::uint32_t number = 0;
@@ -67,6 +69,11 @@
   std::string type;
   std::string zone;
   bool spot = false;
+  /// The leader is about to call its tasks gone: no caretaker may answer it.
+  bool retired = false;
+};
+struct CareRecord {
+  std::string zone;
 };
 /// The last word on a job.
 struct FinalRecord {
@@ -79,6 +86,7 @@
 [[nodiscard]] std::string encode(const JobRecord& record);
 [[nodiscard]] std::string encode(const BlockRecord& record);
 [[nodiscard]] std::string encode(const HostRecord& record);
+[[nodiscard]] std::string encode(const CareRecord& record);
 [[nodiscard]] std::string encode(const FinalRecord& record);
 
 [[nodiscard]] TermRecord decode_term(std::string_view packed);
@@ -86,6 +94,7 @@
 [[nodiscard]] JobRecord decode_job(std::string_view packed);
 [[nodiscard]] BlockRecord decode_block(std::string_view packed);
 [[nodiscard]] HostRecord decode_host(std::string_view packed);
+[[nodiscard]] CareRecord decode_care(std::string_view packed);
 [[nodiscard]] FinalRecord decode_final(std::string_view packed);
 
 /// Tasks per block so that a full block fits one value.
