--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -142,6 +142,13 @@
 inline constexpr double kDefaultTaskTime = 60.0;
 /// Weight of a new measurement in learned averages.
 inline constexpr double kLearnRate = 0.2;
+/// Seconds. Interval at which lists are ordered anew: deadlines draw near.
+inline constexpr double kReorderEvery = 1.0;
+/// Seconds. Stands for the aim of work that has none; goes last of its rank.
+inline constexpr double kNoAim = 1e6;
+/// Share of its aim by which late work's next aim lies later, and how often.
+inline constexpr double kTierStep = 0.5;
+inline constexpr int kMaxTier = 8;
 /// Tasks of one job that stand in lists at once; a job of 100,000 tasks gets
 /// its blocks as they are needed.
 inline constexpr std::size_t kWindowTasks = 256;
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -85,14 +85,48 @@
   for (auto& [name, group] : groups_) group.settle_inbox(may);
 }
 
-void Planner::enlist(Job& job, std::vector<Task*> tasks) {
+std::optional<double> Planner::aim_s(const Job& job) const {
+  if (job.spec.due_s) return job.spec.due_s;
+  for (const auto& aim : settings_.objectives) {
+    if (aim.kind == "finished" && aim.lane == job.spec.lane && aim.within_s > 0) return aim.within_s;
+  }
+  return std::nullopt;
+}
+
+void Planner::refresh(sched::Queued& entry, const Job& job, double now) const {
+  entry.rank = rank(job);
+  entry.work_s = estimates_.run_time(job.spec.lane, job.spec.expect_s);
+  entry.tier = 0;
+  const auto aim = aim_s(job);
+  entry.due = job.submitted + aim.value_or(constants::kNoAim);
+  if (!aim) return;
+  // What can't be in time any more lets pass what still can, and has the
+  // next half of its aim as its new one.
+  while (entry.tier < constants::kMaxTier && now + entry.work_s > entry.due) {
+    ++entry.tier;
+    entry.due += *aim * constants::kTierStep;
+  }
+}
+
+void Planner::reorder(double now) {
+  if (now < next_reorder_) return;
+  next_reorder_ = now + constants::kReorderEvery;
+  for (auto& [name, group] : groups_) {
+    group.reorder([&](sched::Queued& entry) {
+      if (const auto* job = model_.job_of(entry.id)) refresh(entry, *job, now);
+    });
+  }
+}
+
+void Planner::enlist(Job& job, std::vector<Task*> tasks, double now) {
   if (tasks.empty()) return;
-  const double work = estimates_.run_time(job.spec.lane, job.spec.expect_s);
-  const double due = job.submitted + job.spec.due_s.value_or(1e6);
   std::vector<sched::Queued> block;
   for (auto* task : tasks) {
     task->listed = true;
-    block.push_back({task->id, rank(job), due, work});
+    sched::Queued entry;
+    entry.id = task->id;
+    refresh(entry, job, now);
+    block.push_back(entry);
   }
   // The block goes to the group with the lowest mean wait that may run it.
   sched::Group* best = nullptr;
@@ -121,7 +155,7 @@
         ++waiting;
         if (!task.listed && task.not_before <= now) fresh.push_back(&task);
       }
-      enlist(*job, std::move(fresh));
+      enlist(*job, std::move(fresh), now);
     }
     // Blocks of a large job appear as they are needed.
     while (waiting < constants::kWindowTasks && job->next_block < job->block_count) {
@@ -131,7 +165,7 @@
       std::vector<Task*> fresh;
       for (auto& task : block.tasks) fresh.push_back(&task);
       waiting += fresh.size();
-      enlist(*job, std::move(fresh));
+      enlist(*job, std::move(fresh), now);
     }
   }
 }
@@ -383,6 +417,7 @@
   settle_planned(now);
   place_direct(now);
   queue_blocks(now);
+  reorder(now);
   const auto may = eligible();
   for (auto& [name, group] : groups_) moves_ += group.balance(constants::kThresholdTasks, may);
   start_heads(now);
--- a/src/engine/planner.hpp
+++ b/src/engine/planner.hpp
@@ -28,7 +28,10 @@
 
   void update_workers(double now);
   void queue_blocks(double now);
-  void enlist(Job& job, std::vector<Task*> tasks);
+  void enlist(Job& job, std::vector<Task*> tasks, double now);
+  void refresh(sched::Queued& entry, const Job& job, double now) const;
+  void reorder(double now);
+  [[nodiscard]] std::optional<double> aim_s(const Job& job) const;
   void settle_planned(double now);
   void place_direct(double now);
   void place_gang(Job& job, double now);
@@ -55,6 +58,7 @@
   Estimates& estimates_;
   std::map<std::string, sched::Group> groups_;
   std::size_t moves_ = 0;
+  double next_reorder_ = kNever;
 };
 
 /// Stops a task, with time to save where that keeps work.
--- a/src/sched/group.cpp
+++ b/src/sched/group.cpp
@@ -9,6 +9,7 @@
 
 bool Queued::before(const Queued& other) const {
   if (rank != other.rank) return rank > other.rank;
+  if (tier != other.tier) return tier < other.tier;
   if (due != other.due) return due < other.due;
   return id < other.id;
 }
@@ -65,6 +66,15 @@
   return std::any_of(workers_.begin(), workers_.end(), [&](auto& entry) { return drop(entry.second.list); });
 }
 
+void Group::reorder(const std::function<void(Queued&)>& update) {
+  const auto sort = [&](std::vector<Queued>& list) {
+    for (auto& task : list) update(task);
+    std::stable_sort(list.begin(), list.end(), [](const Queued& a, const Queued& b) { return a.before(b); });
+  };
+  sort(inbox_);
+  for (auto& [name, worker] : workers_) sort(worker.list);
+}
+
 double Group::task_time() const {
   double total = 0;
   std::size_t count = 0;
--- a/src/sched/group.hpp
+++ b/src/sched/group.hpp
@@ -19,6 +19,7 @@
 struct Queued {
   TaskId id = 0;
   int rank = 0;      ///< higher goes first
+  int tier = 0;      ///< then the lower: 0 can still be in time
   double due = 0;    ///< then the earlier
   double work_s = 0; ///< anticipated run time
   [[nodiscard]] bool before(const Queued& other) const;
@@ -49,6 +50,8 @@
   /// Gives inbox tasks to workers that have come meanwhile.
   void settle_inbox(const Eligible& eligible);
   bool remove(TaskId id);
+  /// Orders every list anew after `update` has changed its tasks.
+  void reorder(const std::function<void(Queued&)>& update);
 
   [[nodiscard]] double task_time() const;
   /// Mean z of the group; without workers, the wait its inbox stands for.
