--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -172,9 +172,9 @@
 /// Seconds. The pause after `no capacity`, doubled up to the maximum.
 inline constexpr double kNoCapacityPause = 10.0;
 inline constexpr double kNoCapacityPauseMax = 40.0;
-/// Seconds. Shortest charged rental; a machine idle for longer than this
-/// share of it is returned.
-inline constexpr double kMinimumCharge = 60.0;
-inline constexpr double kIdleRelease = 25.0;
+/// Share of `ready_s` for which an idle machine is kept: a new one would be
+/// paid for that long before it runs anything. Measured: shorter loses starts,
+/// longer loses money (docs/measurements.md).
+inline constexpr double kIdleShare = 0.75;
 
 }  // namespace elmstall::constants
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -179,22 +179,21 @@
       const auto& pool = pools[rental.pool];
       rent({pool.type, pool.zone, pool.spot}, std::min(rental.count, k::kMaxRentCount));
     }
-    return_idle(pools, demand, now);
+    return_idle(flavor, pools, demand, now);
   }
 }
 
-void FleetKeeper::return_idle(const std::vector<sched::Pool>& pools, const sched::Demand& demand, double now) {
+void FleetKeeper::return_idle(const wire::Flavor& flavor, const std::vector<sched::Pool>& pools, const sched::Demand& demand, double now) {
   auto spare = sched::surplus(pools, demand);
-  const auto& type = pools.empty() ? std::string() : pools.front().type;
   for (auto& [id, host] : model_.hosts()) {
-    if (host->type != type || !host->synced || host->releasing) continue;
+    if (host->type != flavor.name || !host->synced || host->releasing) continue;
     if (!host->tasks.empty() || host->foreign) {
       host->idle_since = kNever;
       continue;
     }
     if (host->idle_since == kNever) host->idle_since = now;
     int& left = host->spot ? spare.spot : spare.ordinary;
-    if (left <= 0 || now - host->idle_since < k::kIdleRelease) continue;
+    if (left <= 0 || now - host->idle_since < k::kIdleShare * flavor.ready_s) continue;
     --left;
     spdlog::info("host {} idle, returning it", host->id);
     release(*host);
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -32,7 +32,7 @@
   void finish_list(double started);
   void review_hosts(double now);
   void plan(double now);
-  void return_idle(const std::vector<sched::Pool>& pools, const sched::Demand& demand, double now);
+  void return_idle(const wire::Flavor& flavor, const std::vector<sched::Pool>& pools, const sched::Demand& demand, double now);
   void rent(const PoolKey& key, int count);
   void send_rent(const PoolKey& key);
   [[nodiscard]] std::vector<sched::Pool> pools_of(const wire::Flavor& flavor, double now) const;
