Machines are rented for the demand one boot ahead

Cause: what was rented for tasks that already waited came one boot too late for their deadlines, and too late machines then stood idle.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -172,6 +172,12 @@
 /// Seconds. The pause after `no capacity`, doubled up to the maximum.
 inline constexpr double kNoCapacityPause = 10.0;
 inline constexpr double kNoCapacityPauseMax = 40.0;
+/// Seconds. Memory of the rate at which flexible work arrives; and the time
+/// after a takeover for which arrivals tell nothing, for users then catch up.
+inline constexpr double kArrivalMemory = 90.0;
+inline constexpr double kArrivalSettle = 10.0;
+/// Share of the expected change of demand that is acted upon.
+inline constexpr double kForesight = 1.0;
 /// Share of `ready_s` for which an idle machine is kept: a new one would be
 /// paid for that long before it runs anything. Measured: shorter loses starts,
 /// longer loses money (docs/measurements.md).
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -141,10 +141,26 @@
   return pools;
 }
 
-sched::Demand FleetKeeper::demand_of(const wire::Flavor& flavor, double now) const {
+double FleetKeeper::ending_soon(const Job& job, double within_s, double now) const {
+  double count = 0;
+  const double work = estimates_.run_time(job.spec.lane, job.spec.expect_s);
+  for (const auto& [number, block] : job.blocks) {
+    for (const auto& task : block->tasks) {
+      if (task.phase != Phase::assigned) continue;
+      const double ran = task.running_since == kNever ? 0 : now - task.running_since;
+      if (work - ran < within_s) count += 1;
+    }
+  }
+  return count;
+}
+
+sched::Demand FleetKeeper::demand_of(const wire::Flavor& flavor, double now) {
   const sched::Amount whole{flavor.cpus, flavor.gpus, flavor.memory_gb};
   sched::Demand demand;
   std::map<std::string, sched::Amount> wanted;
+  auto& arrivals = arrivals_.try_emplace(flavor.name, k::kArrivalMemory, now).first->second;
+  double ending = 0;
+  std::uint64_t newest = counted_;
   for (const auto& [id, job] : model_.jobs()) {
     if (job->cancelled || job->failed_until > now || job->all_done()) continue;
     const auto& types = job->spec.types;
@@ -154,6 +170,11 @@
     double share = job->need.share_of(whole);
     if (share > 1 + 1e-6) continue;
     share = 1.0 / std::floor(1.0 / share + 1e-6);
+    if (job->spec.spot) ending += share * ending_soon(*job, flavor.ready_s, now);
+    newest = std::max(newest, job->serial);
+    if (job->spec.spot && job->serial > counted_ && now - started_ > k::kArrivalSettle) {
+      arrivals.add(now, share * std::min<double>(job->spec.tasks, constants::kWindowTasks));
+    }
     // No more than the team's limit allows at once.
     auto& sum = wanted[job->spec.team];
     for (std::uint32_t left = job->spec.tasks - job->finished_tasks; left > 0; --left) {
@@ -163,6 +184,10 @@
       if (demand.flexible > 1000 || demand.ordinary > 1000) break;
     }
   }
+  counted_ = newest;
+  // What is rented now serves the demand of one boot later.
+  const double change = arrivals.per_second(now) * flavor.ready_s - ending;
+  demand.flexible = std::max(0.0, demand.flexible + k::kForesight * change);
   demand.headroom = 0.5 + 0.1 * demand.ordinary;
   return demand;
 }
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -3,6 +3,7 @@
 
 #include "engine/model.hpp"
 #include "engine/planner.hpp"
+#include "sched/arrivals.hpp"
 #include "sched/fleet_plan.hpp"
 #include "fleet/cloud.hpp"
 
@@ -36,7 +37,8 @@
   void rent(const PoolKey& key, int count);
   void send_rent(const PoolKey& key);
   [[nodiscard]] std::vector<sched::Pool> pools_of(const wire::Flavor& flavor, double now) const;
-  [[nodiscard]] sched::Demand demand_of(const wire::Flavor& flavor, double now) const;
+  [[nodiscard]] sched::Demand demand_of(const wire::Flavor& flavor, double now);
+  [[nodiscard]] double ending_soon(const Job& job, double within_s, double now) const;
 
   const config::Settings& settings_;
   Runtime& runtime_;
@@ -47,6 +49,8 @@
   std::function<void(Host&)> gone_;
   CommandScope scope_;
   std::map<PoolKey, PoolState> pools_;
+  std::map<std::string, sched::ArrivalRate> arrivals_;
+  std::uint64_t counted_ = 0;  ///< serial of the newest job in `arrivals_`
   std::uint64_t next_request_ = 1;
   double started_ = 0;
   double next_plan_ = kNever;
