--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -146,6 +146,10 @@
 inline constexpr double kReorderEvery = 1.0;
 /// Seconds. Stands for the aim of work that has none; goes last of its rank.
 inline constexpr double kNoAim = 1e6;
+/// Share of a job's remaining work, in seconds of one task after the other,
+/// by which the job is put behind others: small jobs first gets more of them
+/// done in time when there is not room for all.
+inline constexpr double kSmallFirst = 1.0;
 /// Share of its aim by which late work's next aim lies later, and how often.
 inline constexpr double kTierStep = 0.5;
 inline constexpr int kMaxTier = 8;
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -106,6 +106,7 @@
     ++entry.tier;
     entry.due += *aim * constants::kTierStep;
   }
+  entry.due += constants::kSmallFirst * entry.work_s * (job.spec.tasks - job.finished_tasks);
 }
 
 void Planner::reorder(double now) {
