--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -230,10 +230,10 @@
     committer_.touch(*host.record);
     spdlog::info("host {} ({} in {}{}) reports", host.id, host.type, host.zone, host.spot ? ", spot" : "");
   }
-  // A later session knows nothing of the tasks of an earlier one. Of a host
-  // that is new to this term no session is known, but the records may name
-  // tasks: those that it does not report are settled once it is synchronised.
-  if (host.heard && report.session > host.session) host_gone(host, "its session ended");
+  // A later session knows nothing of the tasks of an earlier one. That proves
+  // something only for a synchronised host: of others, two late reports may
+  // show two sessions that were both over before its tasks began.
+  if (host.synced && report.session > host.session) host_gone(host, "its session ended");
   unretire(host);
   host.heard = true;
   host.session = report.session;
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -253,6 +253,31 @@
   expect_rules(world);
 }
 
+/// Safety rules 3 and 6: late reports from former sessions, which a new leader
+/// gets before it is in touch with the machine, prove nothing.
+TEST(LateReports, OfFormerSessionsDoNotFreeTasks) {
+  World world(20, 1);
+  world.submit(service(1, 2));
+  world.run_until(40);
+  ASSERT_EQ(running(world, "job-1"), 2U);
+  world.crash(0, 0.2);
+  for (auto& [id, worker] : world.workers) worker->cut = true;
+  world.run_until(43);
+  ASSERT_NE(world.leader(), nullptr);
+  for (const std::uint64_t session : {1, 2}) {
+    for (auto& [id, worker] : world.workers) {
+      const wire::Report late{id, "", worker->type(), worker->zone(), worker->spot(), session, 1, 0, std::nullopt, {}};
+      world.send_to_node(0, {"POST", "/v1/report", wire::encode_report(late)}, [](const net::Response&) {});
+    }
+    world.run_until(world.loop.now() + 1);
+  }
+  EXPECT_EQ(world.leader()->leader()->model().job("job-1")->on_hosts, 2U);
+  for (auto& [id, worker] : world.workers) worker->cut = false;
+  world.run_until(60);
+  EXPECT_EQ(running(world, "job-1"), 2U);
+  expect_rules(world);
+}
+
 /// The caretaker: a cut between the zones, longer than a lease.
 TEST(CutZone, ACaretakerKeepsItsLeases) {
   World world(13);
