Tasks of different teams no longer displace each other for ever

Guarantees now go before priorities between teams, and a displaced task pauses 1 s. The test's state service forgets old changes too.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -158,6 +158,9 @@
 inline constexpr std::size_t kWindowTasks = 256;
 /// Bytes of a block record that one task may take, as JSON.
 inline constexpr std::size_t kTaskRecordBytes = 40;
+/// Seconds. Pause of a task that made room for another, so that whatever else
+/// goes wrong, tasks can't displace each other at the speed of the commits.
+inline constexpr double kPreemptPause = 1.0;
 /// Failures of different jobs after which a machine is quarantined.
 inline constexpr int kHostErrorLimit = 2;
 /// Machines on which a job's tasks fail before the job is blamed.
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -8,7 +8,8 @@
 
 using wire::TaskState;
 
-void stop_task(Model& model, Task& task, bool save) {
+void stop_task(Model& model, Task& task, bool save, double not_before) {
+  task.not_before = std::max(task.not_before, not_before);
   if (task.phase == Phase::planned) return model.unplan(task);
   if (task.phase != Phase::assigned || task.stopping) return;
   if (!task.offered) return model.release(task);  // it never left us
@@ -204,10 +205,17 @@
 bool Planner::may_stop(const Job& job, const Task& victim) const {
   const auto& other = *victim.job;
   if (victim.phase != Phase::assigned || victim.stopping) return false;
-  if (other.spec.priority < job.spec.priority) return true;
-  if (other.spec.team == job.spec.team || !guaranteed(job)) return false;
+  const bool higher = other.spec.priority > job.spec.priority;
+  const bool lower = other.spec.priority < job.spec.priority;
+  if (other.spec.team == job.spec.team) return lower;
+  // Guarantees go before priorities, here as there: were one work stopped for
+  // its priority and the other for its guarantee, the two would displace each
+  // other for ever.
   const auto* team = settings_.team(other.spec.team);
-  return team != nullptr && !other.service() && !sched::within_guarantee(*team, model_.usage(other.spec.team));
+  const bool kept = team != nullptr && sched::within_guarantee(*team, model_.usage(other.spec.team));
+  const bool owed = guaranteed(job);
+  if (kept != owed) return owed && (!higher || !other.service());
+  return lower;
 }
 
 std::optional<std::vector<Task*>> Planner::victims(const Job& job, const Host& host, double now) const {
@@ -308,7 +316,7 @@
           model_.assign(task, *place->host, now);
           continue;
         }
-        for (auto* victim : place->victims) stop_task(model_, *victim, true);
+        for (auto* victim : place->victims) stop_task(model_, *victim, true, now + constants::kPreemptPause);
         model_.plan(task, *place->host);
       }
       if (stuck) break;
@@ -407,7 +415,7 @@
       if (!place || place->victims.empty()) continue;
       forget(*task);
       task->listed = false;
-      for (auto* victim : place->victims) stop_task(model_, *victim, true);
+      for (auto* victim : place->victims) stop_task(model_, *victim, true, now + constants::kPreemptPause);
       model_.plan(*task, *place->host);
     }
   }
--- a/src/engine/planner.hpp
+++ b/src/engine/planner.hpp
@@ -61,7 +61,8 @@
   double next_reorder_ = kNever;
 };
 
-/// Stops a task, with time to save where that keeps work.
-void stop_task(Model& model, Task& task, bool save);
+/// Stops a task, with time to save where that keeps work; it is not started
+/// again before `not_before`.
+void stop_task(Model& model, Task& task, bool save, double not_before = kNever);
 
 }  // namespace elmstall::engine
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -111,6 +111,28 @@
   expect_rules(world);
 }
 
+/// Guaranteed idle work and another team's work of high priority once
+/// displaced each other at the speed of the commits.
+TEST(Engine, PriorityAndGuaranteeDoNotDisplaceEachOther) {
+  World world(21);
+  world.cloud.capacity = 2;
+  auto owed = array(1, 4, 300);
+  owed.team = "red";  // 4 GPUs guaranteed
+  owed.priority = wire::Priority::idle;
+  auto urgent = array(2, 4, 300);
+  urgent.priority = wire::Priority::high;
+  world.submit(urgent);
+  world.run_until(30);
+  EXPECT_EQ(running(world, "job-2"), 4U);
+  world.submit(owed);
+  world.run_until(50);
+  EXPECT_EQ(running(world, "job-1"), 4U);
+  const auto before = world.state.revision();
+  world.run_until(80);
+  EXPECT_LT(world.state.revision(), before + 20);
+  expect_rules(world);
+}
+
 TEST(Engine, TheTeamsLimitHoldsAndTheRestWaits) {
   World world(5);
   auto job = array(1, 12, 20);
--- a/tests/support/fake_state.cpp
+++ b/tests/support/fake_state.cpp
@@ -4,9 +4,16 @@
 
 using ledger::Outcome;
 
+namespace {
+// Far fewer changes than the real one keeps, so that 410 comes up.
+constexpr std::size_t kLogLength = 300;
+}  // namespace
+
 void FakeState::record(const std::string& key, std::optional<std::string> value) {
   log_.push_back({key, std::move(value), revision_});
-  if (log_.size() > 10'000) log_.pop_front();
+  if (log_.size() <= kLogLength) return;
+  forgotten_ = log_.front().stamp;
+  log_.pop_front();
 }
 
 ledger::CommitResult FakeState::commit(const wire::Txn& txn) {
@@ -53,8 +60,9 @@
   return result;
 }
 
-wire::Changes FakeState::changes(const std::string& prefix, std::uint64_t since) {
+std::optional<wire::Changes> FakeState::changes(const std::string& prefix, std::uint64_t since) {
   expire();
+  if (since < forgotten_) return std::nullopt;
   wire::Changes changes{revision_, {}};
   for (const auto& change : log_) {
     if (change.stamp > since && change.key.starts_with(prefix)) changes.log.push_back(change);
@@ -154,7 +162,8 @@
   const bool silent = state_.down || road.refused;  // open watches wait
   if (!silent) {
     auto changes = state_.changes(prefix, since);
-    if (!changes.log.empty() || loop_.now() >= until) return done({Outcome::ok, std::move(changes)});
+    if (!changes) return done({Outcome::compacted, {}});
+    if (!changes->log.empty() || loop_.now() >= until) return done({Outcome::ok, std::move(*changes)});
   } else if (loop_.now() >= until + 2) {
     return done({Outcome::unknown, {}});
   }
--- a/tests/support/fake_state.hpp
+++ b/tests/support/fake_state.hpp
@@ -24,7 +24,8 @@
   ledger::CommitResult commit(const wire::Txn& txn);
   ledger::GetResult get(const std::string& key);
   ledger::ListResult list(const std::string& prefix, const std::string& since, std::size_t most);
-  wire::Changes changes(const std::string& prefix, std::uint64_t since);
+  /// Nothing when `since` is too old to tell.
+  std::optional<wire::Changes> changes(const std::string& prefix, std::uint64_t since);
   std::uint64_t grant(double life_s);
   bool renew(std::uint64_t lease);
   void expire();
@@ -47,6 +48,7 @@
   std::map<std::string, Item> items_;
   std::map<std::uint64_t, Lease> leases_;
   std::deque<wire::Change> log_;
+  std::uint64_t forgotten_ = 0;  ///< revision of the newest change not kept
 };
 
 /// One node's way to the state service, with the troubles of the road.
