--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -96,8 +96,10 @@
 int run(int argc, char** argv) {
   CLI::App cli("elmstall, a cluster scheduler: one controller of a deployment", "elmstall");
   std::string settings_file;
+  std::string properties_file;
   bool check = false;
   cli.add_option("--config", settings_file, "settings file of the platform (TOML)")->required();
+  cli.add_option("--properties", properties_file, "operators' own settings (Java-style properties)");
   cli.add_flag("--check", check, "validate the settings and exit");
   cli.set_version_flag("--version", std::string("elmstall ") + ELMSTALL_VERSION);
   try {
@@ -106,7 +108,8 @@
     return cli.exit(error) == 0 ? kOk : kUsage;
   }
   try {
-    const auto settings = config::load_settings(settings_file);
+    auto settings = config::load_settings(settings_file);
+    if (!properties_file.empty()) settings.tuning = config::load_properties(properties_file);
     if (check) {
       std::printf("%s: good\n", settings_file.c_str());
       return kOk;
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -183,6 +183,10 @@
 /// after a takeover for which arrivals tell nothing, for users then catch up.
 inline constexpr double kArrivalMemory = 90.0;
 inline constexpr double kArrivalSettle = 10.0;
+/// Machines, and share of the ordinary work there is, kept free for services
+/// that must start sooner than a machine boots.
+inline constexpr double kHeadroomMachines = 0.5;
+inline constexpr double kHeadroomShare = 0.1;
 /// Share of the expected change of demand that is acted upon.
 inline constexpr double kForesight = 1.0;
 /// Share of `ready_s` for which an idle machine is kept: a new one would be
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "config/properties.hpp"
+
 namespace elmstall::config {
 
 /// A settings file that can't be used. The text names file and key.
@@ -61,6 +63,7 @@
   double cores = 0;
   double memory_mb = 0;
   int fd_limit = 0;
+  Tuning tuning;  ///< the operators' own
 
   [[nodiscard]] const Team* team(const std::string& name) const;
   /// Seconds. How long after the sending of its last confirmed state request
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -187,8 +187,8 @@
   counted_ = newest;
   // What is rented now serves the demand of one boot later.
   const double change = arrivals.per_second(now) * flavor.ready_s - ending;
-  demand.flexible = std::max(0.0, demand.flexible + k::kForesight * change);
-  demand.headroom = 0.5 + 0.1 * demand.ordinary;
+  demand.flexible = std::max(0.0, demand.flexible + settings_.tuning.foresight * change);
+  demand.headroom = settings_.tuning.headroom_machines + settings_.tuning.headroom_share * demand.ordinary;
   return demand;
 }
 
@@ -218,7 +218,7 @@
     }
     if (host->idle_since == kNever) host->idle_since = now;
     int& left = host->spot ? spare.spot : spare.ordinary;
-    if (left <= 0 || now - host->idle_since < k::kIdleShare * flavor.ready_s) continue;
+    if (left <= 0 || now - host->idle_since < settings_.tuning.idle_share * flavor.ready_s) continue;
     --left;
     spdlog::info("host {} idle, returning it", host->id);
     release(*host);
--- a/src/engine/gateway.hpp
+++ b/src/engine/gateway.hpp
@@ -14,7 +14,7 @@
 class Gateway {
  public:
   Gateway(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, ledger::Store& store, ledger::Mirror& mirror, Proof& proof)
-      : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), proof_(proof), scope_(queue) {}
+      : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), proof_(proof), scope_(queue), limit_(settings.tuning.requests_max) {}
 
   void set_flavors(const std::vector<wire::Flavor>& flavors) { flavors_ = flavors; }
   void submit(const std::string& body, net::Responder respond);
--- a/src/engine/limiter.hpp
+++ b/src/engine/limiter.hpp
@@ -12,6 +12,8 @@
 
 class ConcurrencyLimit {
  public:
+  explicit ConcurrencyLimit(double most = constants::kLimitMax) : most_(most) {}
+
   [[nodiscard]] bool try_enter() {
     if (in_progress_ >= static_cast<int>(limit_)) {
       ++shed_;
@@ -33,7 +35,7 @@
     const double gradient = std::clamp(constants::kLimitTolerance * best_ / recent_, 0.5, 1.0);
     const double wanted = limit_ * gradient + std::sqrt(limit_);
     limit_ += constants::kLearnRate * (wanted - limit_);
-    limit_ = std::clamp(limit_, constants::kLimitMin, constants::kLimitMax);
+    limit_ = std::clamp(limit_, constants::kLimitMin, most_);
   }
 
   [[nodiscard]] double limit() const { return limit_; }
@@ -41,6 +43,7 @@
   [[nodiscard]] std::size_t shed() const { return shed_; }
 
  private:
+  double most_;
   double limit_ = constants::kLimitStart;
   double best_ = 0;
   double recent_ = 0;
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -107,7 +107,7 @@
     ++entry.tier;
     entry.due += *aim * constants::kTierStep;
   }
-  entry.due += constants::kSmallFirst * entry.work_s * (job.spec.tasks - job.finished_tasks);
+  entry.due += settings_.tuning.small_first * entry.work_s * (job.spec.tasks - job.finished_tasks);
 }
 
 void Planner::reorder(double now) {
@@ -428,7 +428,7 @@
   queue_blocks(now);
   reorder(now);
   const auto may = eligible();
-  for (auto& [name, group] : groups_) moves_ += group.balance(constants::kThresholdTasks, may);
+  for (auto& [name, group] : groups_) moves_ += group.balance(settings_.tuning.threshold_tasks, may);
   start_heads(now);
   relieve_guarantees(now);
 }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -168,8 +168,12 @@
     case msgpack::type::FLOAT32:
     case msgpack::type::FLOAT64:
       return 24;
+    case msgpack::type::POSITIVE_INTEGER:
+      return std::to_string(object.via.u64).size();
+    case msgpack::type::NEGATIVE_INTEGER:
+      return std::to_string(object.via.i64).size();
     default:
-      return 20;
+      return 5;  // null, true, false
   }
 }
 
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,118 @@
+// The real server and client over loopback.
+#include <gtest/gtest.h>
+
+#include <asio.hpp>
+#include <optional>
+
+#include "config/constants.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+
+namespace elmstall::net {
+namespace {
+
+class Loopback : public ::testing::Test {
+ protected:
+  Loopback()
+      : server_(io_, parse_endpoint("127.0.0.1:0"), {4, constants::kMaxBodyBytes}, [this](Request request, Responder respond) {
+          seen_ = request;
+          ++served_;
+          respond({200, request.body, 0});
+        }) {}
+
+  /// What comes back for these bytes before the server closes or falls silent.
+  std::string raw(const std::string& bytes) {
+    asio::ip::tcp::socket socket(io_);
+    socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()});
+    asio::write(socket, asio::buffer(bytes));
+    std::string answer;
+    std::array<char, 4096> chunk{};
+    std::function<void()> read = [&] {
+      socket.async_read_some(asio::buffer(chunk), [&](asio::error_code error, std::size_t size) {
+        answer.append(chunk.data(), size);
+        if (!error) read();
+      });
+    };
+    read();
+    io_.run_for(std::chrono::milliseconds(200));
+    io_.restart();
+    socket.close();
+    io_.run_for(std::chrono::milliseconds(20));
+    io_.restart();
+    return answer;
+  }
+
+  asio::io_context io_;
+  HttpServer server_;
+  std::optional<Request> seen_;
+  int served_ = 0;
+};
+
+TEST_F(Loopback, ServesAndKeepsTheConnection) {
+  HttpClient client(io_, {asio::ip::make_address("127.0.0.1"), server_.port()}, 1);
+  std::vector<Reply> replies;
+  for (int i = 0; i < 3; ++i) client.request("POST", "/x", "body" + std::to_string(i), 2, [&](Reply reply) { replies.push_back(std::move(reply)); });
+  io_.run_for(std::chrono::milliseconds(300));
+  ASSERT_EQ(replies.size(), 3U);
+  EXPECT_EQ(replies[2].status, 200);
+  EXPECT_EQ(replies[2].body, "body2");
+  EXPECT_EQ(server_.connections(), 1U);
+}
+
+TEST_F(Loopback, RefusesWhatIsNoHttp) {
+  EXPECT_NE(raw("rubbish\r\n\r\n").find(" 400 "), std::string::npos);
+  EXPECT_NE(raw("POST /x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n").find(" 413 "), std::string::npos);
+  EXPECT_NE(raw("GET /" + std::string(20'000, 'a') + " HTTP/1.1\r\n\r\n").find(" 431 "), std::string::npos);
+  EXPECT_NE(raw("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n").find(" 400 "), std::string::npos);
+  EXPECT_EQ(served_, 0);
+  EXPECT_NE(raw("GET /ok HTTP/1.1\r\n\r\n").find(" 200 "), std::string::npos);
+}
+
+TEST_F(Loopback, AChunkedBodyIsBoundedToo) {
+  std::string bytes = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 20; ++i) bytes += "1000\r\n" + std::string(4096, 'x') + "\r\n";
+  EXPECT_NE(raw(bytes).find(" 413 "), std::string::npos);
+}
+
+TEST_F(Loopback, ConnectionsAreBounded) {
+  std::vector<asio::ip::tcp::socket> sockets;
+  for (int i = 0; i < 10; ++i) {
+    sockets.emplace_back(io_);
+    sockets.back().connect({asio::ip::make_address("127.0.0.1"), server_.port()});
+  }
+  io_.run_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(server_.connections(), 4U);
+}
+
+TEST_F(Loopback, AClientIsToldWhenNothingWasSent) {
+  const auto port = server_.port();
+  HttpClient nobody(io_, {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port == 1 ? 2 : 1)}, 1);
+  std::optional<Reply> reply;
+  nobody.request("GET", "/", {}, 1, [&](Reply got) { reply = std::move(got); });
+  io_.run_for(std::chrono::milliseconds(300));
+  ASSERT_TRUE(reply);
+  EXPECT_EQ(reply->status, 0);
+  EXPECT_TRUE(reply->never_sent);
+}
+
+TEST(HttpClient, ASilentServerCountsAsNoAnswer) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor silent(io, {asio::ip::make_address("127.0.0.1"), 0});
+  HttpClient client(io, silent.local_endpoint(), 1);
+  std::optional<Reply> reply;
+  client.request("GET", "/", {}, 0.2, [&](Reply got) { reply = std::move(got); });
+  io.run_for(std::chrono::seconds(2));
+  ASSERT_TRUE(reply);
+  EXPECT_EQ(reply->status, 0);
+  EXPECT_FALSE(reply->never_sent);  // it may have been executed
+}
+
+TEST(Endpoint, BadOnesAreNamed) {
+  EXPECT_THROW((void)parse_endpoint("10.0.0.1"), std::invalid_argument);
+  EXPECT_THROW((void)parse_endpoint("10.0.0.1:x"), std::invalid_argument);
+  EXPECT_THROW((void)parse_endpoint("nowhere:80"), std::invalid_argument);
+  EXPECT_EQ(parse_endpoint("10.0.0.1:80").port(), 80);
+}
+
+}  // namespace
+}  // namespace elmstall::net
