--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -103,6 +103,7 @@
 
 void Leader::on_change(const std::vector<ledger::Key>& keys) {
   note_caretakers(context_.runtime.now());
+  decide_ = true;
   for (const auto& key : keys) {
     if (key.kind != ledger::Key::Kind::job) continue;
     const auto* stored = context_.mirror.job(key.id);
@@ -224,6 +225,7 @@
 }
 
 void Leader::read_report(Host& host, const wire::Report& report, double now) {
+  decide_ = true;
   model_.describe(host, report.type, report.zone, report.spot, report.addr);
   if (host.record == nullptr) {
     host.record = host_record(host, 0);
@@ -414,6 +416,7 @@
 }
 
 void Leader::tick() {
+  decide_ = true;
   note_caretakers(context_.runtime.now());
   expire_hosts(context_.runtime.now());
   fleet_.tick();
@@ -421,8 +424,10 @@
 
 void Leader::after_batch() {
   const double now = context_.runtime.now();
-  planner_.decide(now);
-  close_jobs();
+  if (std::exchange(decide_, false)) {
+    planner_.decide(now);
+    close_jobs();
+  }
   committer_.flush();
   answer_held(now);
 }
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -82,6 +82,9 @@
   Planner planner_;
   FleetKeeper fleet_;
   std::map<std::string, Held> held_;
+  /// Something happened that scheduling has to look at; users' polls and the
+  /// answers of the state service are not of that kind.
+  bool decide_ = true;
   CommandScope scope_;
 };
 
