--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -5,48 +5,15 @@
 
 #include <CLI/CLI.hpp>
 #include <asio.hpp>
-#include <chrono>
 #include <cstdio>
 #include <cstdlib>
-#include <random>
 
-#include "config/constants.hpp"
+#include "app/controller.hpp"
 #include "config/settings.hpp"
-#include "engine/node.hpp"
-#include "fleet/cloud_client.hpp"
-#include "ledger/state_client.hpp"
-#include "mesh/tcp_mesh.hpp"
-#include "net/http_server.hpp"
 
 namespace elmstall::app {
 namespace {
 
-/// The engine's time, chance and waiting on an Asio loop.
-class AsioRuntime : public engine::Runtime {
- public:
-  explicit AsioRuntime(asio::io_context& io) : io_(io), random_(std::random_device{}()) {}
-
-  [[nodiscard]] double now() const override {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-  }
-  [[nodiscard]] double wall() const override {
-    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
-  }
-  [[nodiscard]] double random() override { return std::uniform_real_distribution<double>(0, 1)(random_); }
-  void after(double seconds, std::function<void()> fn) override {
-    auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
-    timer->async_wait([timer, fn = std::move(fn)](asio::error_code error) {
-      if (!error) fn();
-    });
-  }
-  void defer(std::function<void()> fn) override { asio::post(io_, std::move(fn)); }
-  [[nodiscard]] std::string incarnation() { return std::to_string(random_()) + std::to_string(random_()); }
-
- private:
-  asio::io_context& io_;
-  std::mt19937_64 random_;
-};
-
 void set_up_logging() {
   auto logger = std::make_shared<spdlog::logger>("", std::make_shared<spdlog::sinks::stderr_sink_st>());
   logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
@@ -61,28 +28,11 @@
   }
 }
 
-ledger::RateShare rate_share(const config::Settings& settings) {
-  // Any node may be the leader, which needs most of the writes; the service
-  // refuses what all together ask for beyond its limits, and that is retried.
-  const auto nodes = static_cast<double>(settings.peers.size() + 1);
-  return {settings.state_rps * std::max(0.5, 1 / nodes), settings.state_write_rps * std::max(0.6, 1 / nodes)};
-}
-
 int serve(const config::Settings& settings) {
   asio::io_context io(1);
-  AsioRuntime runtime(io);
-  ledger::StateClient store(io, net::parse_endpoint(settings.state_endpoint), rate_share(settings));
-  fleet::CloudClient cloud(io, net::parse_endpoint(settings.cloud_endpoint));
-  engine::Node node(settings, {runtime, store, cloud}, runtime.incarnation());
-
-  const auto inbound = static_cast<std::size_t>(settings.fd_limit * constants::kInboundSocketShare);
   try {
-    mesh::TcpMesh mesh(io, net::parse_endpoint(settings.mesh_addr), settings.peers,
-                       [&node](mesh::Message message) { node.on_message(std::move(message)); });
-    net::HttpServer server(io, net::parse_endpoint(settings.api_addr), {inbound, constants::kMaxBodyBytes},
-                           [&node](net::Request request, net::Responder respond) { node.on_request(std::move(request), std::move(respond)); });
+    const Controller controller(io, settings);
     spdlog::info("{} {} in {} serves {}", settings.node, ELMSTALL_VERSION, settings.zone, settings.api_addr);
-    node.start(mesh);
     io.run();
   } catch (const std::system_error& error) {
     std::fprintf(stderr, "elmstall: cannot serve on %s and %s: %s\n", settings.api_addr.c_str(), settings.mesh_addr.c_str(), error.what());
--- /dev/null
+++ b/src/app/controller.cpp
@@ -0,0 +1,80 @@
+#include "app/controller.hpp"
+
+#include <chrono>
+#include <random>
+
+#include "config/constants.hpp"
+#include "engine/node.hpp"
+#include "fleet/cloud_client.hpp"
+#include "ledger/state_client.hpp"
+#include "mesh/tcp_mesh.hpp"
+#include "net/http_server.hpp"
+
+namespace elmstall::app {
+namespace {
+
+/// The engine's time, chance and waiting on an Asio loop.
+class AsioRuntime : public engine::Runtime {
+ public:
+  explicit AsioRuntime(asio::io_context& io) : io_(io), random_(std::random_device{}()) {}
+
+  [[nodiscard]] double now() const override {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  }
+  [[nodiscard]] double wall() const override {
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+  }
+  [[nodiscard]] double random() override { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  void after(double seconds, std::function<void()> fn) override {
+    auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
+    timer->async_wait([timer, fn = std::move(fn)](asio::error_code error) {
+      if (!error) fn();
+    });
+  }
+  void defer(std::function<void()> fn) override { asio::post(io_, std::move(fn)); }
+  [[nodiscard]] std::string incarnation() { return std::to_string(random_()) + std::to_string(random_()); }
+
+ private:
+  asio::io_context& io_;
+  std::mt19937_64 random_;
+};
+
+ledger::RateShare rate_share(const config::Settings& settings) {
+  // Any node may be the leader, which needs most of the writes; the service
+  // refuses what all together ask for beyond its limits, and that is retried.
+  const auto nodes = static_cast<double>(settings.peers.size() + 1);
+  return {settings.state_rps * std::max(0.5, 1 / nodes), settings.state_write_rps * std::max(0.6, 1 / nodes)};
+}
+
+net::ServerLimits server_limits(const config::Settings& settings) {
+  return {static_cast<std::size_t>(settings.fd_limit * constants::kInboundSocketShare), constants::kMaxBodyBytes};
+}
+
+}  // namespace
+
+struct Controller::Parts {
+  Parts(asio::io_context& io, const config::Settings& given)
+      : settings(given),
+        runtime(io),
+        store(io, net::parse_endpoint(settings.state_endpoint), rate_share(settings)),
+        cloud(io, net::parse_endpoint(settings.cloud_endpoint)),
+        node(settings, {runtime, store, cloud}, runtime.incarnation()),
+        mesh(io, net::parse_endpoint(settings.mesh_addr), settings.peers, [this](mesh::Message message) { node.on_message(std::move(message)); }),
+        server(io, net::parse_endpoint(settings.api_addr), server_limits(settings),
+               [this](net::Request request, net::Responder respond) { node.on_request(std::move(request), std::move(respond)); }) {
+    node.start(mesh);
+  }
+
+  config::Settings settings;
+  AsioRuntime runtime;
+  ledger::StateClient store;
+  fleet::CloudClient cloud;
+  engine::Node node;
+  mesh::TcpMesh mesh;
+  net::HttpServer server;
+};
+
+Controller::Controller(asio::io_context& io, const config::Settings& settings) : parts_(std::make_unique<Parts>(io, settings)) {}
+Controller::~Controller() = default;
+
+}  // namespace elmstall::app
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -57,7 +57,7 @@
 /// Seconds. Interval of lease renewals and of term confirmations.
 inline constexpr double kRenewEvery = 0.8;
 /// Seconds. Spread of the moment at which followers stand for leadership.
-inline constexpr double kElectionJitter = 0.25;
+inline constexpr double kElectionJitter = 0.1;
 /// Seconds. Rounding, scheduling delay and reply limit taken off W.
 inline constexpr double kAuthorityMargin = 5.0;
 /// Ratio. Steady clocks drift apart by at most 0.05%; doubled here.
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -25,6 +25,9 @@
 
 void Node::start(mesh::Mesh& mesh) {
   mesh_ = &mesh;
+  // Nobody counts as silent before having had the time to speak: a restarted
+  // node would take care of its zone for no reason.
+  for (const auto& peer : settings_.peers) peers_[peer.name].heard = runtime_.now();
   queue_.post([this] {
     load("");
     fetch_types();
--- /dev/null
+++ b/tests/e2e_test.cpp
@@ -0,0 +1,143 @@
+// Whole controllers over loopback: real HTTP, mesh and clients against the
+// stand-ins of state service, cloud and workers.
+#include <gtest/gtest.h>
+
+#include "app/controller.hpp"
+#include "net/http_client.hpp"
+#include "support/http_fronts.hpp"
+
+namespace elmstall::test {
+namespace {
+
+class EndToEnd : public ::testing::Test {
+ protected:
+  static constexpr std::size_t kNodes = 3;
+
+  EndToEnd() : world_(5, 0), state_(io_, world_.state), cloud_(io_, world_) {
+    // Short, so that real seconds suffice.
+    world_.settings.report_s = 0.3;
+    world_.settings.list_lag_s = 0.2;
+    world_.flavors.front().ready_s = 1;
+    world_.outside_nodes = kNodes;
+    std::vector<std::string> api;
+    std::vector<std::string> mesh;
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      api.push_back(free_address());
+      mesh.push_back(free_address());
+    }
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      auto settings = world_.settings;
+      settings.node = "node-" + std::to_string(i);
+      settings.zone = settings.zones[i % 2];
+      settings.api_addr = api[i];
+      settings.mesh_addr = mesh[i];
+      settings.state_endpoint = "127.0.0.1:" + std::to_string(state_.port());
+      settings.cloud_endpoint = "127.0.0.1:" + std::to_string(cloud_.port());
+      for (std::size_t j = 0; j < kNodes; ++j) {
+        if (j != i) settings.peers.push_back({"node-" + std::to_string(j), settings.zones[j % 2], mesh[j]});
+      }
+      settings_.push_back(settings);
+      clients_.push_back(std::make_unique<net::HttpClient>(io_, net::parse_endpoint(api[i]), 16));
+      controllers_.push_back(std::make_unique<app::Controller>(io_, settings_.back()));
+    }
+    world_.carry = [this](std::size_t node, net::Request request, net::Responder respond) {
+      clients_[node]->request(request.method, request.path, std::move(request.body), 4,
+                              [respond](const net::Reply& reply) { respond({reply.status == 0 ? 503 : reply.status, reply.body, 0}); });
+    };
+    step();
+  }
+
+  /// A port that was free a moment ago.
+  std::string free_address() {
+    asio::ip::tcp::acceptor probe(io_, {asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+  }
+
+  /// Lets the stand-ins' time pass with the real one.
+  void step() {
+    const auto now = std::chrono::steady_clock::now();
+    world_.loop.run_until(std::chrono::duration<double>(now - started_).count());
+    tick_.expires_after(std::chrono::milliseconds(5));
+    tick_.async_wait([this](asio::error_code error) {
+      if (!error) step();
+    });
+  }
+
+  net::Reply ask(std::size_t node, const std::string& method, const std::string& path, const std::string& body = {}) {
+    std::optional<net::Reply> reply;
+    clients_[node]->request(method, path, body, 5, [&](net::Reply got) { reply = std::move(got); });
+    wait(8, [&] { return reply.has_value(); });
+    return reply.value_or(net::Reply{});
+  }
+
+  bool wait(double seconds, const std::function<bool()>& until) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(seconds * 1000));
+    while (!until()) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      io_.run_one_for(std::chrono::milliseconds(20));
+    }
+    return true;
+  }
+
+  std::string submission(const std::string& id, std::uint32_t tasks) {
+    wire::JobSpec job;
+    job.id = id;
+    job.lane = "batch";
+    job.team = "blue";
+    job.tasks = tasks;
+    job.cpus = 5;
+    job.gpus = 1;
+    job.memory_gb = 30;
+    job.spot = true;
+    job.expect_s = 0.5;
+    world_.expect(job);
+    wire::Packer packer;
+    wire::pack_job(packer, job);
+    return packer.take();
+  }
+
+  bool becomes(const std::string& id, wire::JobState state, double seconds) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(seconds * 1000));
+    while (std::chrono::steady_clock::now() < end) {
+      const auto reply = ask(0, "GET", "/api/jobs/" + id);
+      if (reply.status == 200 && wire::decode_status(wire::Document::parse(reply.body).root()).state == state) return true;
+      wait(0.2, [] { return false; });
+    }
+    return false;
+  }
+
+  asio::io_context io_;
+  std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
+  asio::steady_timer tick_{io_};
+  World world_;
+  StateFront state_;
+  CloudFront cloud_;
+  std::vector<config::Settings> settings_;
+  std::vector<std::unique_ptr<net::HttpClient>> clients_;
+  std::vector<std::unique_ptr<app::Controller>> controllers_;
+};
+
+TEST_F(EndToEnd, AJobRunsAndAControllerMayEnd) {
+  ASSERT_TRUE(wait(10, [&] { return ask(0, "GET", "/ready").status == 200; }));
+  EXPECT_EQ(ask(1, "POST", "/api/jobs", submission("job-1", 4)).status, 201);
+  EXPECT_EQ(ask(2, "POST", "/api/jobs", submission("job-1", 4)).status, 200);
+  EXPECT_EQ(ask(0, "POST", "/api/jobs", "rubbish").status, 400);
+  EXPECT_EQ(ask(0, "GET", "/api/jobs/job-9").status, 404);
+  EXPECT_EQ(ask(0, "GET", "/nowhere").status, 404);
+  EXPECT_EQ(ask(0, "GET", "/api/jobs").status, 405);
+  EXPECT_TRUE(becomes("job-1", wire::JobState::done, 45));
+
+  // One after the other ends; whoever is left goes on.
+  controllers_[2].reset();
+  controllers_[1].reset();
+  bool accepted = false;
+  for (int tries = 0; tries < 10 && !accepted; ++tries) accepted = ask(0, "POST", "/api/jobs", submission("job-2", 2)).status <= 201;
+  EXPECT_TRUE(accepted);
+  EXPECT_TRUE(becomes("job-2", wire::JobState::done, 45));
+  EXPECT_EQ(ask(0, "POST", "/api/jobs/job-2/cancel").status, 200);
+  EXPECT_TRUE(becomes("job-2", wire::JobState::done, 5)) << "done stays done";
+  EXPECT_TRUE(world_.rules.broken().empty()) << world_.rules.broken().front();
+}
+
+}  // namespace
+}  // namespace elmstall::test
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -209,7 +209,7 @@
       auto& worker = world_.workers[id] = std::make_unique<FakeWorker>(world_, id, type, zone, spot);
       result.hosts.push_back(id);
       // Now and then one is up at once.
-      world_.loop.after(world_.random() < 0.1 ? 1.0 : 8 + 8 * world_.random(), [raw = worker.get()] { if (!raw->dead()) raw->start(); });
+      world_.loop.after(world_.flavors.front().ready_s * (world_.random() < 0.1 ? 0.1 : 0.67 + 0.67 * world_.random()), [raw = worker.get()] { if (!raw->dead()) raw->start(); });
     }
     if (result.hosts.empty()) return done({Outcome::no_capacity, {}});
     served_[name] = result.hosts;
@@ -321,7 +321,7 @@
   loop.after(back_after, [this, node] { boot(node); });
 }
 
-bool World::reachable(std::size_t node, const std::string& zone) const { return !zones_apart_ || nodes_[node].settings.zone == zone; }
+bool World::reachable(std::size_t node, const std::string& zone) const { return nodes_.empty() || !zones_apart_ || nodes_[node].settings.zone == zone; }
 
 void World::state_down(bool down) {
   if (state.down && !down) {
@@ -342,6 +342,7 @@
 }
 
 void World::send_to_node(std::size_t node, net::Request request, net::Responder respond) {
+  if (carry) return carry(node, std::move(request), std::move(respond));
   if (!nodes_[node].node || worker_cut_[node]) return;
   nodes_[node].node->on_request(std::move(request), std::move(respond));
 }
@@ -375,9 +376,13 @@
   });
 }
 
-void World::submit(const wire::JobSpec& spec) {
+void World::expect(const wire::JobSpec& spec) {
   specs_[spec.id] = spec;
   rules.submitted(spec);
+}
+
+void World::submit(const wire::JobSpec& spec) {
+  expect(spec);
   repeat_submit(spec, loop.now() + 60);
 }
 
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -92,6 +92,8 @@
   void state_down(bool down);
   void take_back(std::size_t count);
 
+  /// A job that somebody else submits.
+  void expect(const wire::JobSpec& spec);
   void submit(const wire::JobSpec& spec);
   void cancel(const std::string& id);
   void poll(const std::string& id);
@@ -103,7 +105,7 @@
   [[nodiscard]] engine::Node* node(std::size_t index) { return nodes_[index].node.get(); }
   [[nodiscard]] FakeStore& store(std::size_t index) { return *nodes_[index].store; }
   [[nodiscard]] engine::Node* leader();
-  [[nodiscard]] std::size_t node_count() const { return nodes_.size(); }
+  [[nodiscard]] std::size_t node_count() const { return nodes_.empty() ? outside_nodes : nodes_.size(); }
   [[nodiscard]] double random() { return std::uniform_real_distribution<double>(0, 1)(generator); }
   [[nodiscard]] std::size_t pick(std::size_t count) { return static_cast<std::size_t>(random() * static_cast<double>(count)) % count; }
 
@@ -115,6 +117,9 @@
   FakeState state;
   FakeCloud cloud;
   std::map<std::string, std::unique_ptr<FakeWorker>> workers;
+  /// Instead of nodes of its own: the world's workers report through this.
+  std::function<void(std::size_t node, net::Request, net::Responder)> carry;
+  std::size_t outside_nodes = 0;
   double loss = 0;  ///< share of workers' and users' messages lost
 
  private:
