--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -187,6 +187,9 @@
 /// that must start sooner than a machine boots.
 inline constexpr double kHeadroomMachines = 0.5;
 inline constexpr double kHeadroomShare = 0.1;
+/// Boots. Work whose aim leaves less time than this beyond its run is rented
+/// for ahead of its arrival; other work can wait for a machine.
+inline constexpr double kUrgentBoots = 1.5;
 /// Share of the expected change of demand that is acted upon.
 inline constexpr double kForesight = 1.0;
 /// Share of `ready_s` for which an idle machine is kept: a new one would be
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -141,6 +141,14 @@
   return pools;
 }
 
+bool FleetKeeper::urgent(const Job& job, const wire::Flavor& flavor) const {
+  const auto aim = aim_s(settings_, job);
+  if (!aim) return false;
+  const double fetch = flavor.fetch_gb_per_s > 0 ? job.spec.image_gb / flavor.fetch_gb_per_s : 0;
+  const double slack = *aim - estimates_.run_time(job.spec.lane, job.spec.expect_s) - fetch;
+  return slack < k::kUrgentBoots * flavor.ready_s;
+}
+
 double FleetKeeper::ending_soon(const Job& job, double within_s, double now) const {
   double count = 0;
   const double work = estimates_.run_time(job.spec.lane, job.spec.expect_s);
@@ -172,7 +180,7 @@
     share = 1.0 / std::floor(1.0 / share + 1e-6);
     if (job->spec.spot) ending += share * ending_soon(*job, flavor.ready_s, now);
     newest = std::max(newest, job->serial);
-    if (job->spec.spot && job->serial > counted_ && now - started_ > k::kArrivalSettle) {
+    if (job->spec.spot && urgent(*job, flavor) && job->serial > counted_ && now - started_ > k::kArrivalSettle) {
       arrivals.add(now, share * std::min<double>(job->spec.tasks, constants::kWindowTasks));
     }
     // No more than the team's limit allows at once.
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -38,6 +38,8 @@
   void send_rent(const PoolKey& key);
   [[nodiscard]] std::vector<sched::Pool> pools_of(const wire::Flavor& flavor, double now) const;
   [[nodiscard]] sched::Demand demand_of(const wire::Flavor& flavor, double now);
+  /// Its aim leaves no time to boot a machine for it.
+  [[nodiscard]] bool urgent(const Job& job, const wire::Flavor& flavor) const;
   [[nodiscard]] double ending_soon(const Job& job, double within_s, double now) const;
 
   const config::Settings& settings_;
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -19,6 +19,14 @@
   task.wind_down_s = worth ? spec.save_s : 0;
 }
 
+std::optional<double> aim_s(const config::Settings& settings, const Job& job) {
+  if (job.spec.due_s) return job.spec.due_s;
+  for (const auto& aim : settings.objectives) {
+    if (aim.kind == "finished" && aim.lane == job.spec.lane && aim.within_s > 0) return aim.within_s;
+  }
+  return std::nullopt;
+}
+
 bool Planner::usable(const Host& host, double now, const config::Settings& settings) {
   return host.synced && host.recorded() && !host.releasing && !host.quarantined && !host.recall_at && !host.foreign &&
          now - host.last_report < 3 * settings.report_s + constants::kReportReplyLimit;
@@ -86,19 +94,11 @@
   for (auto& [name, group] : groups_) group.settle_inbox(may);
 }
 
-std::optional<double> Planner::aim_s(const Job& job) const {
-  if (job.spec.due_s) return job.spec.due_s;
-  for (const auto& aim : settings_.objectives) {
-    if (aim.kind == "finished" && aim.lane == job.spec.lane && aim.within_s > 0) return aim.within_s;
-  }
-  return std::nullopt;
-}
-
 void Planner::refresh(sched::Queued& entry, const Job& job, double now) const {
   entry.rank = rank(job);
   entry.work_s = estimates_.run_time(job.spec.lane, job.spec.expect_s);
   entry.tier = 0;
-  const auto aim = aim_s(job);
+  const auto aim = aim_s(settings_, job);
   entry.due = job.submitted + aim.value_or(constants::kNoAim);
   if (!aim) return;
   // What can't be in time any more lets pass what still can, and has the
--- a/src/engine/planner.hpp
+++ b/src/engine/planner.hpp
@@ -31,7 +31,6 @@
   void enlist(Job& job, std::vector<Task*> tasks, double now);
   void refresh(sched::Queued& entry, const Job& job, double now) const;
   void reorder(double now);
-  [[nodiscard]] std::optional<double> aim_s(const Job& job) const;
   void settle_planned(double now);
   void place_direct(double now);
   void place_gang(Job& job, double now);
@@ -61,6 +60,10 @@
   double next_reorder_ = kNever;
 };
 
+/// Seconds from submission within which the job should be complete, if anybody
+/// says so: its owner, or the users' aims for its class.
+[[nodiscard]] std::optional<double> aim_s(const config::Settings& settings, const Job& job);
+
 /// Stops a task, with time to save where that keeps work; it is not started
 /// again before `not_before`.
 void stop_task(Model& model, Task& task, bool save, double not_before = kNever);
