--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -77,8 +77,9 @@
 /// Seconds. A worker that comes back within this time after a redirect could
 /// not reach the leader; its report is then forwarded over the mesh.
 inline constexpr double kRedirectMemory = 12.0;
-/// Seconds. Longest wait for the leader's answer to a forwarded report.
-inline constexpr double kForwardTimeout = 3.0;
+/// Seconds. Longest wait for the leader's answer to a forwarded report; the
+/// worker gives up after 4 s.
+inline constexpr double kForwardTimeout = 3.4;
 
 // --- caretakers --------------------------------------------------------------
 /// Seconds. Life of the state lease on a caretaker's record.
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -95,8 +95,10 @@
     spdlog::error("a worker's report can't be read: {}", error.what());
     return respond({400, {}, 0});
   }
+  if (!forwarded && send_home(report, respond)) return;
   if (leader_) return leader_->on_report(std::move(report), std::move(respond));
-  redirect(std::move(report), body, std::move(respond), forwarded);
+  if (forwarded) return respond({503, {}, 0});
+  pass_on(std::move(report), body, std::move(respond), runtime_.now() + k::kForwardTimeout);
 }
 
 bool Node::leader_heard() const {
@@ -105,23 +107,51 @@
   return found != peers_.end() && runtime_.now() - found->second.heard < k::kPeerSilence;
 }
 
-void Node::redirect(wire::Report report, const std::string& body, net::Responder respond, bool forwarded) {
-  if (known_leader_.empty() || known_leader_ == settings_.node || forwarded) return respond({503, {}, 0});
-  if (caretaker_.active() || !leader_heard()) return caretaker_.on_report(std::move(report), std::move(respond));
+bool Node::send_home(const wire::Report& report, const net::Responder& respond) {
+  // Workers report to a controller of their own zone, which passes reports on
+  // to the leader. When the zone is cut off, or the leader ends, they are
+  // already where their leases can be kept alive: finding the way there takes
+  // two time-outs of 4 s, about as long as a short lease.
+  if (report.zone == settings_.zone) return false;
+  const double now = runtime_.now();
   auto& last = redirects_[report.host];
+  // Back so soon: it could not reach that node.
+  if (!last.node.empty() && now - last.at < k::kRedirectMemory) return false;
+  for (const auto& peer : settings_.peers) {
+    if (peer.zone != report.zone || now - peers_[peer.name].heard >= k::kPeerSilence) continue;
+    last = {peer.name, now};
+    respond({421, wire::encode_redirect(peer.name), 0});
+    return true;
+  }
+  return false;
+}
+
+void Node::pass_on(wire::Report report, const std::string& body, net::Responder respond, double until) {
+  if (caretaker_.active() || !leader_heard()) {
+    if (known_leader_.empty()) return respond({503, {}, 0});
+    return caretaker_.on_report(std::move(report), std::move(respond));
+  }
+  const auto id = next_forward_++;
+  forwarded_[id] = {std::move(report), body, std::move(respond), known_leader_, until};
+  mesh_->send(known_leader_, mesh::ForwardedReport{settings_.node, id, body});
+}
+
+void Node::tend_forwarded() {
   const double now = runtime_.now();
-  // A worker that is back so soon after a redirect could not reach the
-  // leader: perhaps we can.
-  const bool back = last.leader == known_leader_ && now - last.at < k::kRedirectMemory;
-  if (back) {
-    last.at = now;
-    const auto id = next_forward_++;
-    forwarded_[id] = {std::move(respond), now + k::kForwardTimeout};
-    mesh_->send(known_leader_, mesh::ForwardedReport{settings_.node, id, body});
-    return;
+  auto waiting = std::move(forwarded_);
+  forwarded_.clear();
+  for (auto& [id, one] : waiting) {
+    if (now >= one.until) {
+      one.respond({503, {}, 0});
+    } else if (leader_) {
+      leader_->on_report(std::move(one.report), std::move(one.respond));
+    } else if (one.leader != known_leader_ || !leader_heard()) {
+      // Its leader is gone or not to be heard: to the next one, or into care.
+      pass_on(std::move(one.report), one.body, std::move(one.respond), one.until);
+    } else {
+      forwarded_[id] = std::move(one);
+    }
   }
-  last = {known_leader_, now};
-  respond({421, wire::encode_redirect(known_leader_), 0});
 }
 
 bool Node::state_reachable() const { return runtime_.now() - proof_.last_success() < k::kUnreadyAfter; }
@@ -333,15 +363,7 @@
   }
   proof_.check();
   std::erase_if(redirects_, [&](const auto& entry) { return now - entry.second.at > k::kRedirectMemory; });
-  for (auto it = forwarded_.begin(); it != forwarded_.end();) {
-    if (now < it->second.until) {
-      ++it;
-      continue;
-    }
-    auto respond = std::move(it->second.respond);
-    it = forwarded_.erase(it);
-    respond({503, {}, 0});
-  }
+  tend_forwarded();
   elect();
   caretaker_.tick(leader_heard());
   if (leader_) {
--- a/src/engine/node.hpp
+++ b/src/engine/node.hpp
@@ -36,17 +36,23 @@
     bool state_reachable = true;
   };
   struct Forwarded {
+    wire::Report report;
+    std::string body;
     net::Responder respond;
+    std::string leader;
     double until = 0;
   };
   struct Redirect {
-    std::string leader;
+    std::string node;
     double at = -1e18;
   };
 
   void handle(const net::Request& request, net::Responder respond);
   void on_report(const std::string& body, net::Responder respond, bool forwarded);
-  void redirect(wire::Report report, const std::string& body, net::Responder respond, bool forwarded);
+  /// Sends the worker to a node of its zone, if it should go there.
+  bool send_home(const wire::Report& report, const net::Responder& respond);
+  void pass_on(wire::Report report, const std::string& body, net::Responder respond, double until);
+  void tend_forwarded();
   [[nodiscard]] bool leader_heard() const;
   void tick();
   void after_batch();
