--- a/src/engine/committer.hpp
+++ b/src/engine/committer.hpp
@@ -60,7 +60,6 @@
   [[nodiscard]] bool finishing(const std::string& job) const { return finals_.contains(job); }
   /// Sends the next transaction, if there is one and none is in flight.
   void flush();
-  [[nodiscard]] bool idle() const { return !busy_ && dirty_.empty() && finals_.empty(); }
 
  private:
   struct Pending {
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -29,8 +29,7 @@
 }
 
 void FleetKeeper::read_list(const std::string& since) {
-  const double started = runtime_.now();
-  cloud_.list(since, scope_.wrap([this, started](std::optional<wire::CloudPage> page) {
+  cloud_.list(since, scope_.wrap([this](std::optional<wire::CloudPage> page) {
     if (!page) {
       listing_ = false;
       next_list_ = runtime_.now() + k::kFleetEvery;
@@ -38,11 +37,11 @@
     }
     listed_.insert(listed_.end(), page->hosts.begin(), page->hosts.end());
     if (page->truncated && !page->hosts.empty()) return read_list(page->hosts.back().id);
-    finish_list(started);
+    finish_list();
   }));
 }
 
-void FleetKeeper::finish_list(double started) {
+void FleetKeeper::finish_list() {
   listing_ = false;
   ever_listed_ = true;
   const double now = runtime_.now();
@@ -56,7 +55,6 @@
     if (host.type.empty()) model_.describe(host, entry.type, entry.zone, entry.spot, entry.addr);
     if (!known) host.rented_at = now - entry.age_s;
     host.listed = true;
-    host.listed_at = started;
     if (entry.state == wire::CloudHost::State::failed && !host.listed_failed) {
       // It stopped on its own: the one thing the late list proves.
       host.listed_failed = true;
@@ -123,7 +121,7 @@
   const auto& zones = flavor.zones.empty() ? settings_.zones : flavor.zones;
   for (const auto& zone : zones) {
     for (const bool spot : {false, true}) {
-      sched::Pool pool{flavor.name, zone, spot, spot ? flavor.spot_price : flavor.price, 0, 0, 0, false};
+      sched::Pool pool{flavor.name, zone, spot, spot ? flavor.spot_price : flavor.price, 0, 0, false};
       const auto state = pools_.find({flavor.name, zone, spot});
       if (state != pools_.end()) {
         pool.blocked = state->second.pending || state->second.blocked_until > now;
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -30,7 +30,7 @@
   using PoolKey = std::tuple<std::string, std::string, bool>;
 
   void read_list(const std::string& since);
-  void finish_list(double started);
+  void finish_list();
   void review_hosts(double now);
   void plan(double now);
   void return_idle(const wire::Flavor& flavor, const std::vector<sched::Pool>& pools, const sched::Demand& demand, double now);
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -136,7 +136,6 @@
   double release_tried = kNever;
   bool listed = false;     ///< in the last whole machine list
   bool listed_failed = false;
-  double listed_at = kNever;
   double idle_since = kNever;
   double rented_at = kNever;
   Committer::Record* record = nullptr;
--- a/src/sched/fleet_plan.hpp
+++ b/src/sched/fleet_plan.hpp
@@ -14,7 +14,7 @@
   double price = 0;
   int alive = 0;     ///< up and usable
   int booting = 0;   ///< rented, not up yet
-  double pinned = 0; ///< machines' worth in use by tasks that are not moved
+
   bool blocked = false;  ///< no capacity lately, or the cloud does not answer
 };
 
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -255,6 +255,58 @@
   expect_rules(world);
 }
 
+/// Safety rule 7: what may be on machines out of touch counts for the quota.
+TEST(Quota, CountsTasksOnMachinesNotYetSynchronised) {
+  World world(22);
+  auto first = array(1, 8, 500);
+  first.team = "red";  // at most 8 GPUs
+  world.submit(first);
+  world.run_until(45);
+  ASSERT_EQ(running(world, "job-1"), 8U);
+  for (auto& [id, worker] : world.workers) worker->cut = true;
+  for (std::size_t i = 0; i < world.node_count(); ++i) {
+    if (world.node(i) == world.leader()) world.crash(i, 30);
+  }
+  auto second = array(2, 2, 5);
+  second.team = "red";
+  world.submit(second);
+  world.run_until(52);
+  ASSERT_NE(world.leader(), nullptr);
+  auto& model = world.leader()->leader()->model();
+  EXPECT_DOUBLE_EQ(model.usage("red").gpus, 8);
+  EXPECT_EQ(model.job("job-2")->on_hosts, 0U);
+  world.run_until(120);
+  expect_rules(world);
+}
+
+/// Safety rule 8: at whatever moment a cancellation comes, with starts planned,
+/// recorded, in flight or seen, the job ends cancelled and nothing of it stays.
+TEST(Cancellation, AtAnyMomentOfAStart) {
+  for (int step = 0; step < 24; ++step) {
+    World world(100 + static_cast<unsigned>(step));
+    world.submit(array(1, 4, 30));
+    world.run_until(8 + step * 0.7);
+    world.cancel("job-1");
+    world.run_until(80);
+    world.poll("job-1");
+    world.run_until(82);
+    EXPECT_EQ(world.last_told("job-1"), JobState::cancelled) << step;
+    EXPECT_TRUE(world.rules.broken().empty()) << step << ": " << world.rules.broken().front();
+  }
+}
+
+/// Safety rule 9: a rental without an answer is repeated under its name.
+TEST(Rental, WithoutAnAnswerIsNotMadeTwice) {
+  World world(23);
+  world.cloud.lose_answers = 3;
+  auto job = array(1, 4, 60);
+  world.submit(job);
+  world.run_until(30);
+  EXPECT_EQ(running(world, "job-1"), 4U);
+  EXPECT_LE(world.workers.size(), 4U);  // two for the tasks, headroom, rounding
+  expect_rules(world);
+}
+
 /// Safety rule 6: what is on a silent machine is gone when its lease is over,
 /// and not before.
 TEST(SilentMachine, ItsTasksStartElsewhereAfterItsLease) {
--- a/tests/sched_test.cpp
+++ b/tests/sched_test.cpp
@@ -168,7 +168,7 @@
 }
 
 TEST(FleetPlan, SpotForWorkThatMayOrdinaryForTheRest) {
-  const std::vector<Pool> pools{{"t", "a", false, 6, 1, 0, 0, false}, {"t", "a", true, 2, 0, 0, 0, false}, {"t", "b", true, 2, 0, 1, 0, false}};
+  const std::vector<Pool> pools{{"t", "a", false, 6, 1, 0, false}, {"t", "a", true, 2, 0, 0, false}, {"t", "b", true, 2, 0, 1, false}};
   const auto rentals = plan_rentals(pools, {3, 4, 0});
   EXPECT_EQ(count_of(rentals, 0), 2);
   EXPECT_EQ(count_of(rentals, 1), 2);  // emptiest first
@@ -176,13 +176,13 @@
 }
 
 TEST(FleetPlan, NoSpotCapacityFallsBackToOrdinary) {
-  const std::vector<Pool> pools{{"t", "a", false, 6, 0, 0, 0, false}, {"t", "a", true, 2, 0, 0, 0, true}};
+  const std::vector<Pool> pools{{"t", "a", false, 6, 0, 0, false}, {"t", "a", true, 2, 0, 0, true}};
   EXPECT_EQ(count_of(plan_rentals(pools, {0, 3, 0}), 0), 3);
-  EXPECT_TRUE(plan_rentals({{"t", "a", false, 6, 0, 0, 0, true}}, {5, 0, 0}).empty());
+  EXPECT_TRUE(plan_rentals({{"t", "a", false, 6, 0, 0, true}}, {5, 0, 0}).empty());
 }
 
 TEST(FleetPlan, SurplusIsWhatNeitherKindOfWorkNeeds) {
-  const std::vector<Pool> pools{{"t", "a", false, 6, 5, 0, 0, false}, {"t", "a", true, 2, 3, 0, 0, false}};
+  const std::vector<Pool> pools{{"t", "a", false, 6, 5, 0, false}, {"t", "a", true, 2, 3, 0, false}};
   const auto spare = surplus(pools, {2, 1, 1});
   EXPECT_EQ(spare.ordinary, 2);
   EXPECT_EQ(spare.spot, 3);
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -213,7 +213,10 @@
     }
     if (result.hosts.empty()) return done({Outcome::no_capacity, {}});
     served_[name] = result.hosts;
-    if (world_.random() < 0.1) return done({Outcome::unknown, {}});  // carried out, the answer lost
+    if (lose_answers > 0 || world_.random() < 0.1) {
+      lose_answers = std::max(0, lose_answers - 1);
+      return done({Outcome::unknown, {}});
+    }
     done(result);
   });
 }
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -71,6 +71,7 @@
   void release(const std::vector<std::string>& hosts, std::function<void(bool)> done) override;
   bool down = false;
   int capacity = 12;
+  int lose_answers = 0;  ///< so many rentals are carried out without an answer
 
  private:
   World& world_;
