--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -21,9 +21,8 @@
 inline constexpr std::uint64_t kMaxTasks = 100'000;
 /// Seconds. A worker drops the response to a report after this long.
 inline constexpr double kReportReplyLimit = 4.0;
-/// Machines per rental request, and names per deletion.
+/// Machines per rental request.
 inline constexpr int kMaxRentCount = 50;
-inline constexpr std::size_t kMaxReleaseNames = 100;
 /// Entries per page asked of the state service and of the cloud list.
 inline constexpr int kStatePage = 1000;
 inline constexpr int kCloudPage = 500;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -125,6 +125,10 @@
   return std::max(lease_s * 0.1, cancel_s - lease_s * (1 + constants::kDrift) - constants::kAuthorityMargin);
 }
 
+double Settings::lease_over_s() const { return lease_s * (1 + constants::kDrift) + constants::kLeaseMargin; }
+
+double Settings::silent_after_s() const { return 3 * report_s + constants::kReportReplyLimit; }
+
 Settings load_settings(const std::filesystem::path& file) {
   toml::table root;
   try {
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -71,6 +71,10 @@
   /// hear of is honoured in time: renewals end by then, and the workers'
   /// leases `lease_s` later.
   [[nodiscard]] double authority_s() const;
+  /// Seconds after which a lease that nobody renewed is certainly over.
+  [[nodiscard]] double lease_over_s() const;
+  /// Seconds without a report after which a machine counts as silent.
+  [[nodiscard]] double silent_after_s() const;
 };
 
 /// Throws Invalid.
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -80,7 +80,7 @@
 }
 
 void FleetKeeper::review_hosts(double now) {
-  const double lease = settings_.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
+  const double lease = settings_.lease_over_s();
   std::vector<Host*> silent;
   std::size_t heard = 0;
   for (auto& [id, slot] : model_.hosts()) {
@@ -92,7 +92,7 @@
     if (host.heard) {
       ++heard;
       if (host.tasks.empty() && host.quarantined) release(host);
-      else if (host.quiet(now) > 3 * settings_.report_s + k::kReportReplyLimit) silent.push_back(&host);
+      else if (host.quiet(now) > settings_.silent_after_s()) silent.push_back(&host);
       continue;
     }
     const auto* flavor = model_.flavor(host.type);
@@ -131,7 +131,7 @@
         if (host->type != flavor.name || host->zone != zone || host->spot != spot) continue;
         if (host->releasing || host->quarantined || host->recall_at || host->listed_failed) continue;
         if (!host->heard) ++pool.booting;
-        else if (host->quiet(now) < 3 * settings_.report_s + k::kReportReplyLimit) ++pool.alive;
+        else if (host->quiet(now) < settings_.silent_after_s()) ++pool.alive;
       }
       pools.push_back(std::move(pool));
     }
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -41,7 +41,7 @@
   // Whoever led before may have answered reports until its authority ran
   // out, and what it answered last keeps a lease alive that much longer.
   const auto& settings = context_.settings;
-  return started_ + settings.authority_s() + settings.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
+  return started_ + settings.authority_s() + settings.lease_over_s();
 }
 
 Committer::Record* Leader::host_record(Host& host, std::uint64_t stamp) {
@@ -188,7 +188,7 @@
 }
 
 void Leader::expire_hosts(double now) {
-  const double lease = context_.settings.lease_s * (1 + k::kDrift) + k::kLeaseMargin;
+  const double lease = context_.settings.lease_over_s();
   for (auto& [id, host] : model_.hosts()) {
     if (host->tasks.empty()) continue;
     // Held answers count as given: they may go out at any moment.
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -101,12 +101,13 @@
   pass_on(std::move(report), body, std::move(respond), runtime_.now() + k::kForwardTimeout);
 }
 
-bool Node::leader_heard() const {
-  if (leader_) return true;
-  const auto found = peers_.find(known_leader_);
+bool Node::heard(const std::string& peer) const {
+  const auto found = peers_.find(peer);
   return found != peers_.end() && runtime_.now() - found->second.heard < k::kPeerSilence;
 }
 
+bool Node::leader_heard() const { return leader_ || heard(known_leader_); }
+
 bool Node::send_home(const wire::Report& report, const net::Responder& respond) {
   // Workers report to a controller of their own zone, which passes reports on
   // to the leader. When the zone is cut off, or the leader ends, they are
@@ -118,7 +119,7 @@
   // Back so soon: it could not reach that node.
   if (!last.node.empty() && now - last.at < k::kRedirectMemory) return false;
   for (const auto& peer : settings_.peers) {
-    if (peer.zone != report.zone || now - peers_[peer.name].heard >= k::kPeerSilence) continue;
+    if (peer.zone != report.zone || !heard(peer.name)) continue;
     last = {peer.name, now};
     respond({421, wire::encode_redirect(peer.name), 0});
     return true;
@@ -161,10 +162,9 @@
   if (state_reachable()) return true;
   // Everybody sees the same outage: taking all nodes away helps nobody. Nodes
   // that are silent don't count either way, but one witness is needed.
-  const double now = runtime_.now();
   bool witness = false;
   for (const auto& [name, peer] : peers_) {
-    if (now - peer.heard >= k::kPeerSilence) continue;
+    if (!heard(name)) continue;
     if (peer.state_reachable) return false;
     witness = true;
   }
--- a/src/engine/node.hpp
+++ b/src/engine/node.hpp
@@ -53,6 +53,7 @@
   bool send_home(const wire::Report& report, const net::Responder& respond);
   void pass_on(wire::Report report, const std::string& body, net::Responder respond, double until);
   void tend_forwarded();
+  [[nodiscard]] bool heard(const std::string& peer) const;
   [[nodiscard]] bool leader_heard() const;
   void tick();
   void after_batch();
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -29,7 +29,7 @@
 
 bool Planner::usable(const Host& host, double now, const config::Settings& settings) {
   return host.synced && host.recorded() && !host.releasing && !host.quarantined && !host.recall_at && !host.foreign &&
-         now - host.last_report < 3 * settings.report_s + constants::kReportReplyLimit;
+         now - host.last_report < settings.silent_after_s();
 }
 
 bool Planner::may_run(const Job& job, const Host& host) const {
--- a/tests/e2e_test.cpp
+++ b/tests/e2e_test.cpp
@@ -5,6 +5,7 @@
 #include "app/controller.hpp"
 #include "net/http_client.hpp"
 #include "support/http_fronts.hpp"
+#include "support/jobs.hpp"
 
 namespace elmstall::test {
 namespace {
@@ -79,17 +80,9 @@
     return true;
   }
 
-  std::string submission(const std::string& id, std::uint32_t tasks) {
-    wire::JobSpec job;
-    job.id = id;
-    job.lane = "batch";
-    job.team = "blue";
-    job.tasks = tasks;
-    job.cpus = 5;
-    job.gpus = 1;
-    job.memory_gb = 30;
-    job.spot = true;
-    job.expect_s = 0.5;
+  std::string submission(int number, std::uint32_t tasks) {
+    auto job = array(number, tasks, 0.5);
+    job.image_gb = 0;
     world_.expect(job);
     wire::Packer packer;
     wire::pack_job(packer, job);
@@ -119,8 +112,8 @@
 
 TEST_F(EndToEnd, AJobRunsAndAControllerMayEnd) {
   ASSERT_TRUE(wait(10, [&] { return ask(0, "GET", "/ready").status == 200; }));
-  EXPECT_EQ(ask(1, "POST", "/api/jobs", submission("job-1", 4)).status, 201);
-  EXPECT_EQ(ask(2, "POST", "/api/jobs", submission("job-1", 4)).status, 200);
+  EXPECT_EQ(ask(1, "POST", "/api/jobs", submission(1, 4)).status, 201);
+  EXPECT_EQ(ask(2, "POST", "/api/jobs", submission(1, 4)).status, 200);
   EXPECT_EQ(ask(0, "POST", "/api/jobs", "rubbish").status, 400);
   EXPECT_EQ(ask(0, "GET", "/api/jobs/job-9").status, 404);
   EXPECT_EQ(ask(0, "GET", "/nowhere").status, 404);
@@ -131,7 +124,7 @@
   controllers_[2].reset();
   controllers_[1].reset();
   bool accepted = false;
-  for (int tries = 0; tries < 10 && !accepted; ++tries) accepted = ask(0, "POST", "/api/jobs", submission("job-2", 2)).status <= 201;
+  for (int tries = 0; tries < 10 && !accepted; ++tries) accepted = ask(0, "POST", "/api/jobs", submission(2, 2)).status <= 201;
   EXPECT_TRUE(accepted);
   EXPECT_TRUE(becomes("job-2", wire::JobState::done, 45));
   EXPECT_EQ(ask(0, "POST", "/api/jobs/job-2/cancel").status, 200);
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -1,6 +1,7 @@
 // The real engine against the plain world, one trouble at a time.
 #include <gtest/gtest.h>
 
+#include "support/jobs.hpp"
 #include "support/world.hpp"
 
 namespace elmstall::test {
@@ -8,22 +9,6 @@
 
 using wire::JobState;
 
-wire::JobSpec array(int number, std::uint32_t tasks, double expect_s = 5) {
-  wire::JobSpec job;
-  job.id = "job-" + std::to_string(number);
-  job.lane = "batch";
-  job.team = "blue";
-  job.tasks = tasks;
-  job.cpus = 5;
-  job.gpus = 1;
-  job.memory_gb = 30;
-  job.spot = true;
-  job.image = "img";
-  job.image_gb = 1;
-  job.expect_s = expect_s;
-  return job;
-}
-
 wire::JobSpec service(int number, std::uint32_t tasks) {
   auto job = array(number, tasks);
   job.kind = wire::JobKind::service;
@@ -40,6 +25,13 @@
   EXPECT_GT(world.rules.starts(), 0U);
 }
 
+/// What a user who asks now is told.
+std::optional<JobState> told(World& world, const std::string& id) {
+  world.poll(id);
+  world.run_until(world.loop.now() + 2);
+  return world.last_told(id);
+}
+
 std::size_t running(World& world, const std::string& id) {
   auto* node = world.leader();
   if (node == nullptr) return 0;
@@ -56,9 +48,7 @@
   World world(1);
   world.submit(array(1, 60, 2));
   world.run_until(200);
-  world.poll("job-1");
-  world.run_until(201);
-  EXPECT_EQ(world.last_told("job-1"), JobState::done);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
   expect_rules(world);
   // Nothing of it is left but the last word.
   for (const auto& [key, item] : world.state.items()) EXPECT_EQ(key.find("block"), std::string::npos) << key;
@@ -72,9 +62,7 @@
   world.cancel("job-1");
   world.run_until(75);
   EXPECT_EQ(running(world, "job-1"), 0U);
-  world.poll("job-1");
-  world.run_until(77);
-  EXPECT_EQ(world.last_told("job-1"), JobState::cancelled);
+  EXPECT_EQ(told(world, "job-1"), JobState::cancelled);
   expect_rules(world);
 }
 
@@ -145,9 +133,7 @@
   }
   EXPECT_EQ(most, 8U);
   world.run_until(150);
-  world.poll("job-1");
-  world.run_until(151);
-  EXPECT_EQ(world.last_told("job-1"), JobState::done);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
   expect_rules(world);
 }
 
@@ -197,9 +183,7 @@
   EXPECT_EQ(running(world, "job-1"), 4U);
   EXPECT_GE(world.rules.starts(), before);
   world.run_until(150);
-  world.poll("job-2");
-  world.run_until(151);
-  EXPECT_EQ(world.last_told("job-2"), JobState::done);
+  EXPECT_EQ(told(world, "job-2"), JobState::done);
   expect_rules(world);
 }
 
@@ -321,9 +305,7 @@
     }
   }
   world.run_until(200);
-  world.poll("job-1");
-  world.run_until(201);
-  EXPECT_EQ(world.last_told("job-1"), JobState::done);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
   expect_rules(world);
 }
 
@@ -434,9 +416,7 @@
   world.crash(2, 0.1);
   world.run_until(70);
   EXPECT_TRUE(world.node(0)->mirror().jobs().empty()) << "recovery reads live records only";
-  world.poll("job-1");
-  world.run_until(72);
-  EXPECT_EQ(world.last_told("job-1"), JobState::done);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
 }
 
 TEST(LargeJobs, AreTakenWithOneWriteAndStartAsRoomAllows) {
