--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -122,6 +122,20 @@
 /// Orders in one response, so that it stays far below 64 KiB.
 inline constexpr std::size_t kMaxOrders = 200;
 
+// --- ledger log -----------------------------------------------------------------
+/// Share of a value that is filled; estimates of sizes are upper bounds, and
+/// the rest is for the frame around the entries.
+inline constexpr double kSlotFill = 0.95;
+/// Share of a value that may be live when it is overwritten: what is live is
+/// carried along. A third keeps carrying cheap and the log at three times the
+/// live records, which is what a takeover reads.
+inline constexpr double kSlotCarry = 0.33;
+/// Values that the log has before it begins to overwrite.
+inline constexpr std::size_t kSlotsFirst = 8;
+/// Seconds between two commits of the leader: together they stay far below the
+/// changes that the state service takes, with room for users' own.
+inline constexpr double kCommitEvery = 0.12;
+
 // --- overload ------------------------------------------------------------------
 /// Requests in progress: first limit, and the bounds it moves in.
 inline constexpr double kLimitStart = 64;
@@ -158,6 +172,8 @@
 inline constexpr std::size_t kWindowTasks = 256;
 /// Bytes of a block record that one task may take, as JSON.
 inline constexpr std::size_t kTaskRecordBytes = 40;
+/// Tasks of one block at most: a change of one task writes its whole block.
+inline constexpr std::uint32_t kMaxBlockTasks = 32;
 /// Seconds. Pause of a task that made room for another, so that whatever else
 /// goes wrong, tasks can't displace each other at the speed of the commits.
 inline constexpr double kPreemptPause = 1.0;
--- a/src/engine/caretaker.cpp
+++ b/src/engine/caretaker.cpp
@@ -27,7 +27,7 @@
 void Caretaker::answer(const wire::Report& report, const net::Responder& respond) const {
   const auto found = mirror_.hosts().find(report.host);
   // Unknown to the leader, or about to be called gone: not ours to keep.
-  if (found == mirror_.hosts().end() || ledger::decode_host(found->second.packed).retired) return respond({503, {}, 0});
+  if (found == mirror_.hosts().end() || found->second.record.retired) return respond({503, {}, 0});
   std::vector<wire::Order> orders;
   for (const auto& task : report.tasks) {
     const auto* job = mirror_.job(task.job);
--- a/src/engine/committer.cpp
+++ b/src/engine/committer.cpp
@@ -6,32 +6,51 @@
 
 namespace elmstall::engine {
 
+namespace k = constants;
 using ledger::Outcome;
 
 Committer::Committer(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, ledger::Store& store,
                      const ledger::Mirror& mirror, std::uint64_t term_stamp, Events events)
-    : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), term_stamp_(term_stamp), events_(std::move(events)), scope_(queue) {}
+    : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), term_stamp_(term_stamp), events_(std::move(events)), scope_(queue) {
+  for (const auto& [number, slot] : mirror.slots()) {
+    slots_[number].stamp = slot.stamp;
+    next_number_ = std::max(next_number_, slot.number + 1);
+  }
+}
 
-Committer::Record* Committer::add(std::string key, std::uint64_t stamp, std::string job, std::function<std::string()> encode) {
+Committer::Record* Committer::add(Record::Kind kind, std::string job, std::function<ledger::Packed()> pack) {
   auto record = std::make_unique<Record>();
-  record->key = key;
+  record->kind = kind;
   record->job = std::move(job);
-  record->encode = std::move(encode);
-  record->stamp = stamp;
+  record->pack = std::move(pack);
+  record->serial = next_serial_++;
   auto* result = record.get();
-  records_[std::move(key)] = std::move(record);
+  records_[result->serial] = std::move(record);
   return result;
 }
 
+Committer::Record* Committer::adopt(Record::Kind kind, std::string job, std::function<ledger::Packed()> pack, std::uint32_t slot) {
+  auto* record = add(kind, std::move(job), std::move(pack));
+  record->revision = slots_[slot].stamp;
+  record->slot = slot;
+  record->json = record->pack().json;
+  slots_[slot].json += record->json;
+  slots_[slot].live[record->serial] = record;
+  return record;
+}
+
 void Committer::touch(Record& record) {
   ++record.version;
-  dirty_.insert(record.key);
+  if (record.ticket != 0) return;
+  record.ticket = next_ticket_++;
+  dirty_[record.ticket] = &record;
 }
 
-void Committer::discard(Record& record) {
+void Committer::discard(Record& record, ledger::Packed last) {
   record.remove = true;
-  record.encode = nullptr;
   record.job.clear();
+  record.absent.clear();
+  record.pack = [last = std::move(last)] { return last; };
   touch(record);
 }
 
@@ -40,177 +59,260 @@
   finals_.emplace(std::move(job), std::move(final));
 }
 
-bool Committer::room(const Pending& pending, std::size_t writes, std::size_t bytes) const {
-  return pending.txn.writes.size() + writes <= static_cast<std::size_t>(settings_.txn_ops) &&
-         pending.bytes + bytes <= constants::kMaxTxnBytes;
+// --- building a transaction ------------------------------------------------------
+
+std::size_t Committer::value_limit() const { return static_cast<std::size_t>(settings_.state_value_kb * 1024 * k::kSlotFill); }
+
+std::uint32_t Committer::choose_slot(const Pending& pending) const {
+  // The one with the least to carry; a new one while even that is too much.
+  const auto carry = static_cast<std::size_t>(settings_.state_value_kb * 1024 * k::kSlotCarry);
+  std::uint32_t fresh = 0;
+  const Slot* best = nullptr;
+  std::uint32_t best_number = 0;
+  for (const auto& [number, slot] : slots_) {
+    fresh = std::max(fresh, number + 1);
+    const bool taken = std::any_of(pending.values.begin(), pending.values.end(), [n = number](const Value& value) { return value.slot == n; });
+    if (taken || slot.json > carry || (best != nullptr && slot.json >= best->json)) continue;
+    best = &slot;
+    best_number = number;
+  }
+  for (const auto& value : pending.values) fresh = std::max(fresh, value.slot + 1);
+  return best == nullptr || slots_.size() < k::kSlotsFirst ? fresh : best_number;
 }
 
 void Committer::add_finals(Pending& pending) {
+  std::vector<std::string> over;
   for (auto& [id, final] : finals_) {
     const auto* job = mirror_.job(id);
-    if (job == nullptr) continue;  // the watch will tell
+    if (job == nullptr) {
+      // Written by a transaction of ours that seemed lost, or not yet seen.
+      if (mirror_.final_state(id)) over.push_back(id);
+      continue;
+    }
     // Cancelled meanwhile, though its tasks are done: the user was told so,
     // and that stands.
     if (job->record.cancelled) final.record.state = wire::JobState::cancelled;
-    // Blocks that don't fit are removed afterwards: without their job they
-    // mean nothing.
-    const std::size_t most = static_cast<std::size_t>(settings_.txn_ops) - 2;
-    const std::size_t blocks = std::min(final.blocks.size(), most);
+    // One change is kept for the log.
+    if (pending.txn.writes.size() + 3 > static_cast<std::size_t>(settings_.txn_ops)) break;
     auto value = ledger::encode(final.record);
-    if (!room(pending, 2 + blocks, value.size() + 200)) return;
     pending.txn.guards.push_back({ledger::job_key(id), job->stamp});
     pending.txn.guards.push_back({ledger::final_key(id), 0});
-    pending.bytes += value.size() + 200;
+    pending.json += value.size() * 2 + 200;
     pending.txn.writes.push_back({ledger::final_key(id), std::move(value), 0});
     pending.txn.writes.push_back({ledger::job_key(id), std::nullopt, 0});
-    for (std::size_t i = 0; i < blocks; ++i) {
-      const auto& block = *final.blocks[i];
-      pending.txn.guards.push_back({block.key, block.stamp});
-      if (block.stamp != 0) pending.txn.writes.push_back({block.key, std::nullopt, 0});
-    }
     pending.finals.push_back(id);
   }
+  for (const auto& id : over) finished(id);
 }
 
-void Committer::add_records(Pending& pending) {
-  std::set<std::string> guarded;
-  for (auto it = dirty_.begin(); it != dirty_.end();) {
-    auto& record = *records_.at(*it);
-    if (record.clean() || (record.remove && record.stamp == 0)) {
-      const auto key = *it;
-      it = dirty_.erase(it);
-      if (record.remove) drop(key);
-      continue;
-    }
-    ++it;
-    // A job that gets its last word in this transaction takes its blocks along.
-    if (!record.job.empty() && finals_.contains(record.job)) continue;
-    const auto* job = record.job.empty() ? nullptr : mirror_.job(record.job);
-    if (!record.job.empty() && job == nullptr) continue;
-    std::optional<std::string> value;
-    if (!record.remove) value = record.encode();
-    const std::size_t bytes = (value ? value->size() : 0) + record.key.size() * 2 + 64;
-    if (!room(pending, 1, bytes * 2)) return;
-    if (job != nullptr && guarded.insert(record.job).second) {
-      pending.txn.guards.push_back({ledger::job_key(record.job), job->stamp});
-    }
-    pending.txn.guards.push_back({record.key, record.stamp});
-    for (const auto& key : record.absent) pending.txn.guards.push_back({key, 0});
-    pending.txn.writes.push_back({record.key, std::move(value), 0});
-    pending.bytes += bytes * 2;
-    pending.records.emplace_back(record.key, record.version);
+bool Committer::live(const Record& record, const Pending& pending) const {
+  // The last word on a job takes its blocks along; until it is written they
+  // are carried, for a leader that found none would start from nothing.
+  if (record.job.empty()) return true;
+  return mirror_.job(record.job) != nullptr && std::find(pending.finals.begin(), pending.finals.end(), record.job) == pending.finals.end();
+}
+
+void Committer::guard_absent(Pending& pending, const Record& record) {
+  if (record.clean()) return;
+  for (const auto& key : record.absent) {
+    const bool known = std::any_of(pending.txn.guards.begin(), pending.txn.guards.end(), [&](const auto& one) { return one.key == key; });
+    if (!known) pending.txn.guards.push_back({key, 0});
   }
 }
 
+void Committer::put(Value& value, Record& record, ledger::Packed packed) {
+  value.json += packed.json;
+  value.entries.push_back({record.serial, record.version, packed.json});
+  (record.kind == Record::Kind::host ? value.hosts : value.blocks).push_back(std::move(packed.bytes));
+}
+
+bool Committer::carry(Pending& pending, Value& value) {
+  const auto old = slots_.find(value.slot);
+  if (old == slots_.end()) return true;
+  for (const auto& [serial, record] : old->second.live) {
+    if (!live(*record, pending)) continue;
+    guard_absent(pending, *record);
+    put(value, *record, record->pack());
+  }
+  // Its entries may have grown since they were written there.
+  old->second.json = value.json;
+  return value.json <= value_limit() / 2;
+}
+
+void Committer::fill(Pending& pending, Value& value, std::map<std::uint64_t, Record*>::iterator& next) {
+  const auto limit = value_limit();
+  for (; next != dirty_.end(); ++next) {
+    auto& record = *next->second;
+    // Blocks of finished jobs go with the last word, when its turn comes.
+    if (record.slot == value.slot || !live(record, pending) || finals_.contains(record.job)) continue;
+    auto packed = record.pack();
+    if (value.json + packed.json > limit) return;
+    guard_absent(pending, record);
+    put(value, record, std::move(packed));
+  }
+}
+
+void Committer::add_values(Pending& pending) {
+  auto next = dirty_.begin();
+  const auto all = [&] { return next == dirty_.end(); };
+  // Every transaction writes at least one value: its number tells, if the
+  // answer gets lost, whether all of it was applied.
+  do {
+    Value value;
+    do {
+      value = Value{choose_slot(pending), next_number_++, 0, {}, {}, {}};
+    } while (!carry(pending, value));
+    fill(pending, value, next);
+    if (pending.values.empty() && value.entries.empty() && pending.finals.empty()) return;
+    if (!pending.values.empty() && value.entries.empty()) return;
+    const auto known = slots_.find(value.slot);
+    pending.txn.guards.push_back({ledger::slot_key(value.slot), known == slots_.end() ? 0 : known->second.stamp});
+    pending.txn.writes.push_back({ledger::slot_key(value.slot), ledger::encode_slot(value.number, value.blocks, value.hosts), 0});
+    pending.json += value.json + 200;
+    pending.values.push_back(std::move(value));
+  } while (!all() && pending.txn.writes.size() < static_cast<std::size_t>(settings_.txn_ops) / 2 &&
+           pending.json + value_limit() < k::kMaxTxnBytes);
+}
+
 void Committer::flush() {
   if (busy_ || (dirty_.empty() && finals_.empty())) return;
   if (mirror_.revision() < wait_revision_) return;
+  const double now = runtime_.now();
+  if (now < next_commit_) {
+    if (std::exchange(woken_, true)) return;
+    runtime_.after(next_commit_ - now, scope_.wrap([this] {
+      woken_ = false;
+      flush();
+    }));
+    return;
+  }
   auto pending = std::make_shared<Pending>();
   pending->txn.guards.push_back({std::string(ledger::kTermKey), term_stamp_});
   add_finals(*pending);
-  add_records(*pending);
-  if (pending->txn.writes.empty()) return;
+  add_values(*pending);
+  if (pending->values.empty()) return;
   busy_ = true;
-  pending->sent = runtime_.now();
+  pending->sent = now;
+  next_commit_ = now + k::kCommitEvery;
   store_.commit(pending->txn, ledger::Urgency::bookkeeping,
                 scope_.wrap([this, pending](const ledger::CommitResult& result) { on_result(pending, result); }));
 }
 
+// --- what became of it -------------------------------------------------------------
+
 void Committer::on_result(const std::shared_ptr<Pending>& pending, const ledger::CommitResult& result) {
   busy_ = false;
-  std::set<std::string> keys;
   switch (result.outcome) {
     case Outcome::ok:
       return succeed(*pending, result.revision);
-    case Outcome::conflict:
-      for (const auto& key : result.failed) {
-        if (key == ledger::kTermKey) return events_.deposed();
-        // Records of jobs and caretakers are written by every node: the watch
-        // brings their new stamps. All other keys are ours alone, so an
-        // earlier transaction of ours, thought lost, was applied after all.
-        if (const auto kind = ledger::parse_key(key).kind; kind == ledger::Key::Kind::job || kind == ledger::Key::Kind::care) wait_revision_ = std::max(wait_revision_, result.revision);
-        else keys.insert(key);
-      }
-      return refresh(std::move(keys));
+    case Outcome::conflict: {
+      const auto failed = [&](const std::string& key) { return std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end(); };
+      if (failed(std::string(ledger::kTermKey))) return events_.deposed();
+      // The log is ours alone: an earlier transaction, thought lost, was
+      // applied after all. All other records change under other hands too,
+      // and the watch tells.
+      const bool ours = std::any_of(pending->values.begin(), pending->values.end(), [&](const Value& value) { return failed(ledger::slot_key(value.slot)); });
+      if (ours) return read_back(pending);
+      wait_revision_ = std::max(wait_revision_, result.revision);
+      return pause(0.05);
+    }
     case Outcome::unknown:
       // It may have been applied, or may be later. Nothing counts as written;
-      // fresh stamps let it be written again, and whichever copy comes second
-      // fails on its guards.
-      for (const auto& [key, version] : pending->records) keys.insert(key);
-      for (const auto& id : pending->finals) keys.insert(ledger::final_key(id));
-      return refresh(std::move(keys));
+      // what is built anew is guarded by the same versions or holds newer
+      // numbers, so whichever copy comes second does no harm.
+      return read_back(pending);
     default:
       return pause(0.25);
   }
 }
 
+void Committer::read_back(const std::shared_ptr<Pending>& pending) {
+  busy_ = true;
+  // One transaction is applied whole or not at all: one of its values tells.
+  const auto& first = pending->values.front();
+  const auto ask = [this, pending](std::uint32_t slot, std::function<void(const ledger::GetResult&)> then) {
+    store_.get(ledger::slot_key(slot), scope_.wrap([this, pending, then = std::move(then)](const ledger::GetResult& result) {
+      if (result.outcome == Outcome::ok || result.outcome == Outcome::missing) return then(result);
+      runtime_.after(k::kStateRetry, scope_.wrap([this, pending] { read_back(pending); }));
+    }));
+  };
+  ask(first.slot, [this, pending, ask](const ledger::GetResult& result) {
+    const auto& value = pending->values.front();
+    if (result.outcome == Outcome::ok && ledger::decode_slot(result.entry.value).number == value.number) {
+      busy_ = false;
+      return succeed(*pending, result.entry.stamp);
+    }
+    // Not applied. Learn the versions that an older copy may have left.
+    auto left = std::make_shared<std::size_t>(pending->values.size());
+    for (const auto& one : pending->values) {
+      ask(one.slot, [this, left, slot = one.slot](const ledger::GetResult& found) {
+        const bool present = found.outcome == Outcome::ok;
+        if (present || slots_.contains(slot)) slots_[slot].stamp = present ? found.entry.stamp : 0;
+        if (--*left == 0) pause(0.05);
+      });
+    }
+  });
+}
+
 void Committer::succeed(const Pending& pending, std::uint64_t revision) {
   events_.confirmed(pending.sent);
-  for (const auto& [key, version] : pending.records) {
-    const auto found = records_.find(key);
+  for (const auto& value : pending.values) settle(value, revision);
+  for (const auto& id : pending.finals) finished(id);
+}
+
+void Committer::leave_slot(Record& record) {
+  if (record.slot == Record::kNoSlot) return;
+  auto& slot = slots_[record.slot];
+  slot.json -= record.json;
+  slot.live.erase(record.serial);
+  record.slot = Record::kNoSlot;
+}
+
+void Committer::settle(const Value& value, std::uint64_t revision) {
+  slots_[value.slot].stamp = revision;
+  for (const auto& entry : value.entries) {
+    const auto found = records_.find(entry.serial);
     if (found == records_.end()) continue;
     auto& record = *found->second;
-    record.stamp = revision;
-    record.written = version;
-    if (!record.clean()) continue;
-    dirty_.erase(key);
-    if (record.remove) drop(key);
+    leave_slot(record);
+    if (record.written != entry.version || record.revision == 0) record.revision = revision;
+    record.written = entry.version;
+    if (record.clean()) {
+      record.absent.clear();
+      if (record.ticket != 0) dirty_.erase(record.ticket);
+      record.ticket = 0;
+      if (record.remove) {
+        drop(record);
+        continue;
+      }
+    }
+    record.slot = value.slot;
+    record.json = entry.json;
+    slots_[value.slot].json += record.json;
+    slots_[value.slot].live[record.serial] = &record;
   }
-  for (const auto& id : pending.finals) finished(id);
-  events_.committed();
 }
 
 void Committer::finished(const std::string& job) {
   const auto found = finals_.find(job);
   if (found == finals_.end()) return;
-  const std::size_t most = static_cast<std::size_t>(settings_.txn_ops) - 2;
-  auto blocks = std::move(found->second.blocks);
+  for (auto* block : found->second.blocks) drop(*block);
   finals_.erase(found);
-  for (std::size_t i = 0; i < blocks.size(); ++i) {
-    if (i < most) {
-      dirty_.erase(blocks[i]->key);
-      drop(blocks[i]->key);
-    } else {
-      discard(*blocks[i]);
-    }
-  }
   events_.finished(job);
 }
 
-void Committer::refresh(std::set<std::string> keys) {
-  stale_.merge(keys);
-  if (stale_.empty()) return pause(0.05);
-  refresh_next();
-}
-
-void Committer::refresh_next() {
-  if (stale_.empty()) return flush();
-  busy_ = true;
-  const std::string key = *stale_.begin();
-  store_.get(key, scope_.wrap([this, key](const ledger::GetResult& result) {
-    busy_ = false;
-    if (result.outcome != Outcome::ok && result.outcome != Outcome::missing) return pause(0.3);
-    stale_.erase(key);
-    const auto parsed = ledger::parse_key(key);
-    const bool present = result.outcome == Outcome::ok;
-    if (parsed.kind == ledger::Key::Kind::final) {
-      if (present) finished(parsed.id);
-    } else if (const auto found = records_.find(key); found != records_.end()) {
-      found->second->stamp = present ? result.entry.stamp : 0;
-    }
-    refresh_next();
-  }));
-}
-
 void Committer::pause(double seconds) {
   busy_ = true;
   runtime_.after(seconds, scope_.wrap([this] {
     busy_ = false;
-    if (stale_.empty()) flush();
-    else refresh_next();
+    flush();
   }));
 }
 
-void Committer::drop(const std::string& key) { records_.erase(key); }
+void Committer::drop(Record& record) {
+  leave_slot(record);
+  if (record.ticket != 0) dirty_.erase(record.ticket);
+  records_.erase(record.serial);
+}
 
 }  // namespace elmstall::engine
--- a/src/engine/committer.hpp
+++ b/src/engine/committer.hpp
@@ -1,12 +1,17 @@
-// Group commit of the leader's records. Every transaction is guarded by the
-// term and by the stamp of each record it changes, so what a former leader
-// left behind in the network can't be applied.
+// Group commit of the leader's records to the ledger log.
+//
+// Blocks and hosts are entries of the log's values ("slots"). A commit writes
+// whole new values: of each slot that is overwritten the entries that are
+// still the latest of their kind are carried along, so that the log stays
+// small, nothing has to be deleted, and a commit's cost follows bytes and not
+// the number of records touched. Every transaction is guarded by the term and
+// by the version of each slot it overwrites, so what a former leader left
+// behind in the network can't be applied.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,29 +25,35 @@
 
 class Committer {
  public:
-  /// One record that this leader writes. `version` counts what is wanted,
-  /// `written` what is known to be in the state service.
+  /// One entry. `version` counts what is wanted, `written` what is known to be
+  /// in the state service.
   struct Record {
-    std::string key;
-    std::string job;  ///< not empty: its record's stamp is guarded too
-    std::function<std::string()> encode;
-    std::uint64_t stamp = 0;
+    enum class Kind : std::uint8_t { block, host };
+    Kind kind = Kind::block;
+    std::string job;  ///< of a block: written only while that job's record is there
+    std::function<ledger::Packed()> pack;
     std::uint64_t version = 0;
     std::uint64_t written = 0;
-    bool remove = false;
+    std::uint64_t revision = 0;  ///< at which `written` was committed, 0: never
+    bool remove = false;         ///< says so once and is forgotten
     /// Keys that must not exist when this record is written.
     std::vector<std::string> absent;
     [[nodiscard]] bool clean() const { return written == version; }
+
+    // The committer's own.
+    std::uint64_t serial = 0;
+    std::uint64_t ticket = 0;  ///< place in the queue of changed records, 0: none
+    static constexpr std::uint32_t kNoSlot = ~0U;
+    std::uint32_t slot = kNoSlot;  ///< that holds its latest version
+    std::size_t json = 0;          ///< bytes there
   };
-  /// The last word on a job, written together with the removal of its
-  /// records.
+  /// The last word on a job, written together with the removal of its record.
   struct Final {
     std::string job;
     ledger::FinalRecord record;
     std::vector<Record*> blocks;
   };
   struct Events {
-    std::function<void()> committed;
     std::function<void(const std::string& job)> finished;
     std::function<void()> deposed;
     /// A commit was answered; it was sent at this time.
@@ -52,33 +63,66 @@
   Committer(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, ledger::Store& store,
             const ledger::Mirror& mirror, std::uint64_t term_stamp, Events events);
 
-  Record* add(std::string key, std::uint64_t stamp, std::string job, std::function<std::string()> encode);
+  /// An entry that is not in the log yet.
+  Record* add(Record::Kind kind, std::string job, std::function<ledger::Packed()> pack);
+  /// An entry that the log has in this slot.
+  Record* adopt(Record::Kind kind, std::string job, std::function<ledger::Packed()> pack, std::uint32_t slot);
   void touch(Record& record);
-  /// Deletes the record and forgets it; the pointer is not to be used again.
-  void discard(Record& record);
+  /// Says that the entry is gone and forgets it; the pointer is not to be used
+  /// again. `last`: its last packed form.
+  void discard(Record& record, ledger::Packed last);
   void finish(Final final);
   [[nodiscard]] bool finishing(const std::string& job) const { return finals_.contains(job); }
   /// Sends the next transaction, if there is one and none is in flight.
   void flush();
+  /// Changed records and last words that wait to be written.
+  [[nodiscard]] std::size_t backlog() const { return dirty_.size() + finals_.size(); }
 
  private:
+  struct Slot {
+    std::uint64_t stamp = 0;
+    std::size_t json = 0;                    ///< of what is live in it
+    std::map<std::uint64_t, Record*> live;  ///< by serial
+  };
+  /// A new value of a slot.
+  struct Value {
+    std::uint32_t slot = 0;
+    std::uint64_t number = 0;
+    std::size_t json = 0;
+    std::vector<std::string> blocks;
+    std::vector<std::string> hosts;
+    struct Entry {
+      std::uint64_t serial = 0;
+      std::uint64_t version = 0;
+      std::size_t json = 0;
+    };
+    std::vector<Entry> entries;
+  };
   struct Pending {
     wire::Txn txn;
-    std::size_t bytes = 0;
-    std::vector<std::pair<std::string, std::uint64_t>> records;  ///< key and version
+    std::vector<Value> values;
     std::vector<std::string> finals;
+    std::size_t json = 0;
     double sent = 0;
   };
 
-  [[nodiscard]] bool room(const Pending& pending, std::size_t writes, std::size_t bytes) const;
+  [[nodiscard]] std::size_t value_limit() const;
+  [[nodiscard]] std::uint32_t choose_slot(const Pending& pending) const;
   void add_finals(Pending& pending);
-  void add_records(Pending& pending);
+  [[nodiscard]] bool live(const Record& record, const Pending& pending) const;
+  static void guard_absent(Pending& pending, const Record& record);
+  /// Puts in what is live in the slot; false if that leaves too little room.
+  bool carry(Pending& pending, Value& value);
+  void fill(Pending& pending, Value& value, std::map<std::uint64_t, Record*>::iterator& next);
+  void put(Value& value, Record& record, ledger::Packed packed);
+  void add_values(Pending& pending);
   void on_result(const std::shared_ptr<Pending>& pending, const ledger::CommitResult& result);
+  void read_back(const std::shared_ptr<Pending>& pending);
   void succeed(const Pending& pending, std::uint64_t revision);
-  void refresh(std::set<std::string> keys);
-  void refresh_next();
+  void settle(const Value& value, std::uint64_t revision);
+  void leave_slot(Record& record);
   void pause(double seconds);
-  void drop(const std::string& key);
+  void drop(Record& record);
   void finished(const std::string& job);
 
   const config::Settings& settings_;
@@ -88,11 +132,16 @@
   std::uint64_t term_stamp_;
   Events events_;
   CommandScope scope_;
-  std::map<std::string, std::unique_ptr<Record>> records_;
-  std::set<std::string> dirty_;
+  std::map<std::uint64_t, std::unique_ptr<Record>> records_;  ///< by serial
+  std::map<std::uint64_t, Record*> dirty_;                    ///< by ticket: first come, first written
   std::map<std::string, Final> finals_;
-  std::set<std::string> stale_;  ///< keys whose stamp must be read again
+  std::map<std::uint32_t, Slot> slots_;
+  std::uint64_t next_serial_ = 1;
+  std::uint64_t next_ticket_ = 1;
+  std::uint64_t next_number_ = 1;
   bool busy_ = false;
+  bool woken_ = false;
+  double next_commit_ = -1e18;
   std::uint64_t wait_revision_ = 0;  ///< not before the mirror is this far
 };
 
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -18,8 +18,7 @@
       started_(context.runtime.now()),
       confirmed_(confirmed),
       committer_(context.settings, context.runtime, context.queue, context.store, context.mirror, term_stamp,
-                 {[] {},  // what was written is looked at after every batch
-                  [this](const std::string& job) { model_.remove_job(job); },
+                 {[this](const std::string& job) { model_.remove_job(job); },
                   // Not from inside the committer, which goes with the leader.
                   [this] { context_.queue.post(context_.deposed); },
                   [this](double sent) { confirm(sent); }}),
@@ -44,10 +43,12 @@
   return started_ + settings.authority_s() + settings.lease_over_s();
 }
 
-Committer::Record* Leader::host_record(Host& host, std::uint64_t stamp) {
-  return committer_.add(ledger::host_key(host.id), stamp, "", [&host] {
-    return ledger::encode(ledger::HostRecord{host.addr, host.type, host.zone, host.spot, host.retired});
-  });
+void Leader::record_host(Host& host, const ledger::Mirror::Host* stored) {
+  const auto pack = [&host] {
+    return ledger::pack(ledger::HostEntry{host.id, false, {host.addr, host.type, host.zone, host.spot, host.retired}});
+  };
+  constexpr auto kind = Committer::Record::Kind::host;
+  host.record = stored == nullptr ? committer_.add(kind, "", pack) : committer_.adopt(kind, "", pack, stored->slot);
 }
 
 void Leader::set_flavors(const std::vector<wire::Flavor>& flavors) { model_.set_flavors(flavors); }
@@ -56,16 +57,15 @@
 
 void Leader::rebuild() {
   const auto& mirror = context_.mirror;
-  for (const auto& [id, value] : mirror.hosts()) {
-    const auto record = ledger::decode_host(value.packed);
+  for (const auto& [id, stored] : mirror.hosts()) {
+    const auto& record = stored.record;
     auto& host = model_.host(id);
     model_.describe(host, record.type, record.zone, record.spot, record.addr);
     host.inherited_until = inherited_until();
     host.retired = record.retired;
-    host.record = host_record(host, value.stamp);
+    record_host(host, &stored);
   }
   for (const auto& [id, job] : mirror.jobs()) add_job(id, job.record);
-  sweep_orphans();
   spdlog::info("leading in term {}: {} jobs, {} hosts taken over", term_, model_.jobs().size(), model_.hosts().size());
 }
 
@@ -82,7 +82,7 @@
 
 void Leader::adopt_block(Job& job, std::uint32_t number, const ledger::Mirror::Block& stored) {
   auto& block = model_.load_block(job, number, &stored);
-  for (const auto& known : ledger::decode_block(stored.packed).tasks) {
+  for (const auto& known : stored.record.tasks) {
     if (known.host.empty() || known.index < block.first || known.index - block.first >= block.tasks.size()) continue;
     auto& host = model_.host(known.host);
     if (host.inherited_until == kNever) host.inherited_until = inherited_until();
@@ -91,16 +91,6 @@
   if (std::all_of(block.done.begin(), block.done.end(), [](bool done) { return done; })) block.tasks.clear();
 }
 
-void Leader::sweep_orphans() {
-  // Blocks whose job has its last word already: too many for one transaction.
-  for (const auto& [id, blocks] : context_.mirror.all_blocks()) {
-    if (context_.mirror.job(id) != nullptr) continue;
-    for (const auto& [number, stored] : blocks) {
-      committer_.discard(*committer_.add(ledger::block_key(id, number), stored.stamp, "", nullptr));
-    }
-  }
-}
-
 void Leader::on_change(const std::vector<ledger::Key>& keys) {
   note_caretakers(context_.runtime.now());
   decide_ = true;
@@ -200,7 +190,7 @@
       continue;
     }
     // Written, and the mirror has passed that point without a caretaker.
-    if (!host->record->clean() || context_.mirror.revision() < host->record->stamp) continue;
+    if (!host->record->clean() || context_.mirror.revision() < host->record->revision) continue;
     host_gone(*host, "its lease is over");
     host->synced = false;
   }
@@ -228,7 +218,7 @@
   decide_ = true;
   model_.describe(host, report.type, report.zone, report.spot, report.addr);
   if (host.record == nullptr) {
-    host.record = host_record(host, 0);
+    record_host(host, nullptr);
     committer_.touch(*host.record);
     spdlog::info("host {} ({} in {}{}) reports", host.id, host.type, host.zone, host.spot ? ", spot" : "");
   }
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -50,7 +50,6 @@
 
   void rebuild();
   void adopt_block(Job& job, std::uint32_t number, const ledger::Mirror::Block& stored);
-  void sweep_orphans();
   void add_job(const std::string& id, const ledger::JobRecord& record);
   void cancel(Job& job);
   void close_jobs();
@@ -59,7 +58,7 @@
   void expire_hosts(double now);
   void retire(Host& host);
   void unretire(Host& host);
-  [[nodiscard]] Committer::Record* host_record(Host& host, std::uint64_t stamp);
+  void record_host(Host& host, const ledger::Mirror::Host* stored);
   [[nodiscard]] double inherited_until() const;
 
   void read_report(Host& host, const wire::Report& report, double now);
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -139,7 +139,7 @@
   double idle_since = kNever;
   double rented_at = kNever;
   Committer::Record* record = nullptr;
-  [[nodiscard]] bool recorded() const { return record != nullptr && record->stamp != 0; }
+  [[nodiscard]] bool recorded() const { return record != nullptr && record->revision != 0; }
   [[nodiscard]] sched::Amount room() const { return capacity - used - strangers; }
   /// Seconds since anybody heard of it. The end of a caretaker's time counts:
   /// the machine needs a moment to find its leader again.
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -252,6 +252,10 @@
 
 void Node::elect() {
   if (leader_ || !mirror_.loaded()) return;
+  if (mirror_.earlier_layout()) {
+    if (!std::exchange(refused_layout_, true)) spdlog::error("the state service holds records of an earlier layout below {}block/ or host/: not standing for leadership", ledger::kLive);
+    return;
+  }
   const auto& lead = mirror_.lead();
   if (lead && lead->node == settings_.node && lead->incarnation == incarnation_) {
     if (lead->term == mirror_.term() && lead->term >= known_term_ && standing_) win();
--- a/src/engine/node.hpp
+++ b/src/engine/node.hpp
@@ -100,6 +100,7 @@
   std::uint64_t known_term_ = 0;  ///< highest heard of, from records or peers
   std::string known_leader_;
   bool standing_ = false;
+  bool refused_layout_ = false;  ///< said so
   double stand_at_ = -1;
   std::uint64_t lease_ = 0;
   double stood_at_ = 0;  ///< when the request for leadership was sent
--- a/src/ledger/mirror.cpp
+++ b/src/ledger/mirror.cpp
@@ -1,5 +1,7 @@
 #include "ledger/mirror.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include "config/constants.hpp"
 
 namespace elmstall::ledger {
@@ -14,7 +16,9 @@
   jobs_.clear();
   blocks_.clear();
   hosts_.clear();
+  slots_.clear();
   cares_.clear();
+  earlier_layout_ = false;
 }
 
 void Mirror::load(const wire::Listing& page) {
@@ -29,6 +33,7 @@
 }
 
 std::vector<Key> Mirror::apply(const wire::Changes& changes) {
+  const bool was_loaded = loaded();
   std::vector<Key> touched;
   for (const auto& change : changes.log) {
     auto key = parse_key(change.key);
@@ -39,9 +44,16 @@
     touched.push_back(std::move(key));
   }
   revision_ = std::max(revision_, changes.revision);
+  if (!was_loaded && loaded()) drop_orphans();
   return touched;
 }
 
+void Mirror::drop_orphans() {
+  // Old values of the log still speak of jobs that are over; what is said of
+  // a job counts only while its own record is there.
+  std::erase_if(blocks_, [this](const auto& entry) { return !jobs_.contains(entry.first); });
+}
+
 std::uint64_t Mirror::stamp_of(const Key& key) const {
   switch (key.kind) {
     case Key::Kind::term: return term_stamp_;
@@ -51,15 +63,9 @@
       const auto* found = job(key.id);
       return found == nullptr ? 0 : found->stamp;
     }
-    case Key::Kind::block: {
-      const auto* found = blocks(key.id);
-      if (found == nullptr) return 0;
-      const auto one = found->find(key.number);
-      return one == found->end() ? 0 : one->second.stamp;
-    }
-    case Key::Kind::host: {
-      const auto found = hosts_.find(key.id);
-      return found == hosts_.end() ? 0 : found->second.stamp;
+    case Key::Kind::slot: {
+      const auto found = slots_.find(key.number);
+      return found == slots_.end() ? 0 : found->second.stamp;
     }
     case Key::Kind::care: {
       const auto found = cares_.find(key.id);
@@ -70,6 +76,37 @@
 }
 
 void Mirror::put(const Key& key, const std::string& packed, std::uint64_t stamp) {
+  try {
+    decode_and_put(key, packed, stamp);
+  } catch (const wire::Malformed& error) {
+    // A record that can't be read must not end the process, which would read
+    // it again after its restart.
+    spdlog::error("a record of the state service is skipped: {}", error.what());
+  }
+}
+
+void Mirror::put_slot(std::uint32_t slot, const SlotRecord& value, std::uint64_t stamp) {
+  slots_[slot] = {stamp, value.number};
+  const bool whole = loaded();
+  for (const auto& entry : value.blocks) {
+    if (whole && !jobs_.contains(entry.job)) continue;
+    auto& block = blocks_[entry.job][entry.number];
+    if (block.number <= value.number) block = {value.number, slot, entry.record};
+  }
+  for (const auto& entry : value.hosts) {
+    if (entry.gone) {
+      // Only while it is the latest word: late copies of old values may still
+      // name the host, whose end the leader then finds out anew.
+      const auto found = hosts_.find(entry.id);
+      if (found != hosts_.end() && found->second.number <= value.number) hosts_.erase(found);
+      continue;
+    }
+    auto& host = hosts_[entry.id];
+    if (host.number <= value.number) host = {value.number, slot, entry.record};
+  }
+}
+
+void Mirror::decode_and_put(const Key& key, const std::string& packed, std::uint64_t stamp) {
   switch (key.kind) {
     case Key::Kind::term:
       term_ = decode_term(packed).term;
@@ -85,13 +122,11 @@
     case Key::Kind::job:
       jobs_[key.id] = {decode_job(packed), stamp};
       break;
-    case Key::Kind::block: {
-      const auto record = decode_block(packed);
-      blocks_[key.id][key.number] = {stamp, packed, record.done_count(), record.assigned_count()};
+    case Key::Kind::slot:
+      put_slot(key.number, decode_slot(packed), stamp);
       break;
-    }
-    case Key::Kind::host:
-      hosts_[key.id] = {packed, stamp};
+    case Key::Kind::earlier:
+      earlier_layout_ = true;
       break;
     case Key::Kind::care:
       cares_[key.id] = {decode_care(packed).zone, stamp};
@@ -107,16 +142,11 @@
 void Mirror::erase(const Key& key) {
   switch (key.kind) {
     case Key::Kind::lead: lead_.reset(); break;
-    case Key::Kind::job: jobs_.erase(key.id); break;
-    case Key::Kind::host: hosts_.erase(key.id); break;
-    case Key::Kind::care: cares_.erase(key.id); break;
-    case Key::Kind::block: {
-      const auto found = blocks_.find(key.id);
-      if (found == blocks_.end()) break;
-      found->second.erase(key.number);
-      if (found->second.empty()) blocks_.erase(found);
+    case Key::Kind::job:
+      jobs_.erase(key.id);
+      if (loaded()) blocks_.erase(key.id);
       break;
-    }
+    case Key::Kind::care: cares_.erase(key.id); break;
     default: break;
   }
 }
@@ -154,8 +184,8 @@
   }
   if (const auto* found = blocks(id)) {
     for (const auto& [number, block] : *found) {
-      status.done += block.done;
-      status.running += block.assigned;
+      status.done += block.record.done_count();
+      status.running += block.record.assigned_count();
     }
   }
   if (status.running > 0) status.state = wire::JobState::running;
--- a/src/ledger/mirror.hpp
+++ b/src/ledger/mirror.hpp
@@ -19,10 +19,18 @@
     std::uint64_t stamp = 0;
   };
   struct Block {
+    std::uint64_t number = 0;  ///< of the log value that it comes from
+    std::uint32_t slot = 0;    ///< and where that value is
+    BlockRecord record;
+  };
+  struct Host {
+    std::uint64_t number = 0;
+    std::uint32_t slot = 0;
+    HostRecord record;
+  };
+  struct Slot {
     std::uint64_t stamp = 0;
-    std::string packed;
-    std::size_t done = 0;
-    std::size_t assigned = 0;
+    std::uint64_t number = 0;
   };
   struct Job {
     JobRecord record;
@@ -45,8 +53,10 @@
   [[nodiscard]] const Job* job(const std::string& id) const;
   [[nodiscard]] const std::map<std::string, Job>& jobs() const { return jobs_; }
   [[nodiscard]] const std::map<std::uint32_t, Block>* blocks(const std::string& id) const;
-  [[nodiscard]] const std::unordered_map<std::string, std::map<std::uint32_t, Block>>& all_blocks() const { return blocks_; }
-  [[nodiscard]] const std::map<std::string, Value>& hosts() const { return hosts_; }
+  [[nodiscard]] const std::map<std::string, Host>& hosts() const { return hosts_; }
+  [[nodiscard]] const std::map<std::uint32_t, Slot>& slots() const { return slots_; }
+  /// Records of a layout that this program does not read: it must not lead.
+  [[nodiscard]] bool earlier_layout() const { return earlier_layout_; }
   /// Zone of every node that is a caretaker, by node.
   [[nodiscard]] const std::map<std::string, std::pair<std::string, std::uint64_t>>& cares() const { return cares_; }
   [[nodiscard]] std::optional<FinalRecord> final_state(const std::string& id) const;
@@ -60,7 +70,10 @@
 
  private:
   void put(const Key& key, const std::string& packed, std::uint64_t stamp);
+  void decode_and_put(const Key& key, const std::string& packed, std::uint64_t stamp);
+  void put_slot(std::uint32_t slot, const SlotRecord& record, std::uint64_t stamp);
   void erase(const Key& key);
+  void drop_orphans();
   [[nodiscard]] std::uint64_t stamp_of(const Key& key) const;
 
   bool listed_ = false;
@@ -74,7 +87,9 @@
   std::optional<Value> types_;
   std::map<std::string, Job> jobs_;
   std::unordered_map<std::string, std::map<std::uint32_t, Block>> blocks_;
-  std::map<std::string, Value> hosts_;
+  std::map<std::string, Host> hosts_;
+  std::map<std::uint32_t, Slot> slots_;
+  bool earlier_layout_ = false;
   std::map<std::string, std::pair<std::string, std::uint64_t>> cares_;  ///< zone and stamp
   std::unordered_map<std::string, FinalRecord> finals_;
   std::deque<std::string> final_order_;
--- a/src/ledger/records.cpp
+++ b/src/ledger/records.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr std::string_view kJobs = "elm/l/job/";
-constexpr std::string_view kBlocks = "elm/l/block/";
-constexpr std::string_view kHosts = "elm/l/host/";
+constexpr std::string_view kSlots = "elm/l/log/";
+constexpr std::string_view kEarlierBlocks = "elm/l/block/";
+constexpr std::string_view kEarlierHosts = "elm/l/host/";
 constexpr std::string_view kCares = "elm/l/care/";
 constexpr std::string_view kFinals = "elm/f/";
 
@@ -42,10 +43,7 @@
 }  // namespace
 
 std::string job_key(std::string_view id) { return joined(kJobs, id); }
-std::string block_key(std::string_view id, std::uint32_t number) {
-  return joined(kBlocks, id).append("/").append(std::to_string(number));
-}
-std::string host_key(std::string_view id) { return joined(kHosts, id); }
+std::string slot_key(std::uint32_t number) { return joined(kSlots, std::to_string(number)); }
 std::string care_key(std::string_view node) { return joined(kCares, node); }
 std::string final_key(std::string_view id) { return joined(kFinals, id); }
 
@@ -55,19 +53,15 @@
   if (key == kLeadKey) return {Key::Kind::lead, {}, 0};
   if (key == kTypesKey) return {Key::Kind::types, {}, 0};
   if (key.starts_with(kJobs)) return {Key::Kind::job, rest(kJobs), 0};
-  if (key.starts_with(kHosts)) return {Key::Kind::host, rest(kHosts), 0};
   if (key.starts_with(kCares)) return {Key::Kind::care, rest(kCares), 0};
   if (key.starts_with(kFinals)) return {Key::Kind::final, rest(kFinals), 0};
-  if (key.starts_with(kBlocks)) {
-    Key parsed{Key::Kind::block, rest(kBlocks), 0};
-    const auto slash = parsed.id.find('/');
-    if (slash == std::string::npos) return {};
-    const char* end = parsed.id.data() + parsed.id.size();
-    const auto [stop, error] = std::from_chars(parsed.id.data() + slash + 1, end, parsed.number);
-    if (error != std::errc() || stop != end) return {};
-    parsed.id.resize(slash);
-    return parsed;
+  if (key.starts_with(kSlots)) {
+    Key parsed{Key::Kind::slot, {}, 0};
+    const char* end = key.data() + key.size();
+    const auto [stop, error] = std::from_chars(key.data() + kSlots.size(), end, parsed.number);
+    return error == std::errc() && stop == end ? parsed : Key{};
   }
+  if (key.starts_with(kEarlierBlocks) || key.starts_with(kEarlierHosts)) return {Key::Kind::earlier, {}, 0};
   return {};
 }
 
@@ -95,20 +89,41 @@
   return packer.take();
 }
 
-std::string encode(const BlockRecord& record) {
+// Upper bounds of what a value takes as JSON, with its comma.
+namespace {
+constexpr std::size_t kJsonCount = 11;
+constexpr std::size_t kJsonList = 3;
+std::size_t json_text(const std::string& text) { return text.size() + 3; }
+}  // namespace
+
+Packed pack(const BlockEntry& entry) {
   wire::Packer packer;
-  packer.map(3).key("n").integer(record.done.size()).key("done").text(to_hex(record.done));
-  packer.key("tasks").list(record.tasks.size());
-  for (const auto& task : record.tasks) {
+  const auto bits = to_hex(entry.record.done);
+  packer.list(5).text(entry.job).integer(entry.number).integer(entry.record.done.size()).text(bits);
+  packer.list(entry.record.tasks.size());
+  std::size_t json = 2 * kJsonList + json_text(entry.job) + 2 * kJsonCount + json_text(bits);
+  for (const auto& task : entry.record.tasks) {
     packer.list(3).integer(task.index).integer(task.attempt).text(task.host);
+    json += kJsonList + 2 * kJsonCount + json_text(task.host);
   }
-  return packer.take();
+  return {packer.take(), json};
+}
+
+Packed pack(const HostEntry& entry) {
+  wire::Packer packer;
+  if (entry.gone) return {packer.list(1).text(entry.id).take(), kJsonList + json_text(entry.id)};
+  const auto& host = entry.record;
+  packer.list(5).text(entry.id).text(host.addr).text(host.type).text(host.zone);
+  packer.integer((host.spot ? 1U : 0U) | (host.retired ? 2U : 0U));
+  return {packer.take(), kJsonList + json_text(entry.id) + json_text(host.addr) + json_text(host.type) + json_text(host.zone) + kJsonCount};
 }
 
-std::string encode(const HostRecord& record) {
+std::string encode_slot(std::uint64_t number, const std::vector<std::string>& blocks, const std::vector<std::string>& hosts) {
   wire::Packer packer;
-  packer.map(5).key("addr").text(record.addr).key("type").text(record.type).key("zone").text(record.zone);
-  packer.key("spot").flag(record.spot).key("retired").flag(record.retired);
+  packer.map(3).key("n").integer(number).key("b").list(blocks.size());
+  for (const auto& block : blocks) packer.raw(block);
+  packer.key("h").list(hosts.size());
+  for (const auto& host : hosts) packer.raw(host);
   return packer.take();
 }
 
@@ -137,28 +152,48 @@
   return {wire::decode_job(fields.require("spec")), fields.flag_or("cancelled", false), fields.number("at")};
 }
 
-BlockRecord decode_block(std::string_view packed) {
-  const auto document = wire::Document::parse(packed);
-  const auto fields = document.fields();
-  BlockRecord block;
-  const auto size = fields.integer("n");
+namespace {
+
+BlockEntry decode_block(const wire::Object& object) {
+  const auto [part, end] = wire::elements(&object, "block");
+  if (end - part != 5) throw wire::Malformed("a block has five parts");
+  BlockEntry entry;
+  entry.job = wire::as_text(part[0], "job");
+  entry.number = static_cast<std::uint32_t>(wire::as_integer(part[1], "number"));
+  const auto size = wire::as_integer(part[2], "size");
   if (size > constants::kMaxTasks) throw wire::Malformed("a block is too large");
-  block.done = from_hex(fields.text("done"), size);
-  const auto [first, last] = wire::elements(fields.find("tasks"), "tasks");
+  entry.record.done = from_hex(wire::as_text(part[3], "done"), size);
+  const auto [first, last] = wire::elements(&part[4], "tasks");
   for (const auto* item = first; item != last; ++item) {
-    const auto [part, end] = wire::elements(item, "task");
-    if (end - part != 3) throw wire::Malformed("a task record has three parts");
-    block.tasks.push_back({static_cast<std::uint32_t>(wire::as_integer(part[0], "index")),
-                           wire::as_integer(part[1], "attempt"), wire::as_text(part[2], "host")});
+    const auto [field, stop] = wire::elements(item, "task");
+    if (stop - field != 3) throw wire::Malformed("a task record has three parts");
+    entry.record.tasks.push_back({static_cast<std::uint32_t>(wire::as_integer(field[0], "index")),
+                                  wire::as_integer(field[1], "attempt"), wire::as_text(field[2], "host")});
   }
-  return block;
+  return entry;
 }
 
-HostRecord decode_host(std::string_view packed) {
+HostEntry decode_host(const wire::Object& object) {
+  const auto [part, end] = wire::elements(&object, "host");
+  if (end - part == 1) return {wire::as_text(part[0], "host"), true, {}};
+  if (end - part != 5) throw wire::Malformed("a host has five parts");
+  const auto flags = wire::as_integer(part[4], "flags");
+  return {wire::as_text(part[0], "host"), false,
+          {wire::as_text(part[1], "addr"), wire::as_text(part[2], "type"), wire::as_text(part[3], "zone"), (flags & 1U) != 0, (flags & 2U) != 0}};
+}
+
+}  // namespace
+
+SlotRecord decode_slot(std::string_view packed) {
   const auto document = wire::Document::parse(packed);
   const auto fields = document.fields();
-  return {fields.text("addr"), fields.text("type"), fields.text("zone"), fields.flag_or("spot", false),
-          fields.flag_or("retired", false)};
+  SlotRecord slot;
+  slot.number = fields.integer("n");
+  const auto [block, blocks_end] = wire::elements(fields.find("b"), "b");
+  for (const auto* item = block; item != blocks_end; ++item) slot.blocks.push_back(decode_block(*item));
+  const auto [host, hosts_end] = wire::elements(fields.find("h"), "h");
+  for (const auto* item = host; item != hosts_end; ++item) slot.hosts.push_back(decode_host(*item));
+  return slot;
 }
 
 CareRecord decode_care(std::string_view packed) { return {wire::Document::parse(packed).fields().text("zone")}; }
@@ -173,10 +208,10 @@
 }
 
 std::uint32_t block_size(double value_kb) {
-  // Powers of two, at most 256, leaving a tenth of the value for the rest.
-  const auto room = static_cast<std::size_t>(value_kb * 1024 * 0.9) / constants::kTaskRecordBytes;
+  // Powers of two. Small ones keep what a change of one task costs small.
+  const auto room = static_cast<std::size_t>(value_kb * 1024 / 2.5) / constants::kTaskRecordBytes;
   std::uint32_t size = 1;
-  while (size * 2 <= room && size < 256) size *= 2;
+  while (size * 2 <= room && size < constants::kMaxBlockTasks) size *= 2;
   return size;
 }
 
--- a/src/ledger/records.hpp
+++ b/src/ledger/records.hpp
@@ -23,15 +23,16 @@
 inline constexpr std::string_view kProbeKey = "elm/none";
 
 [[nodiscard]] std::string job_key(std::string_view id);
-[[nodiscard]] std::string block_key(std::string_view id, std::uint32_t number);
-[[nodiscard]] std::string host_key(std::string_view id);
+/// One value of the ledger log.
+[[nodiscard]] std::string slot_key(std::uint32_t number);
 /// Says that this node may keep leases of its zone alive, see Caretaker.
 [[nodiscard]] std::string care_key(std::string_view node);
 [[nodiscard]] std::string final_key(std::string_view id);
 
 /// A key taken apart.
 struct Key {
-  enum class Kind : std::uint8_t { other, term, lead, types, job, block, host, care, final };
+  /// `earlier`: of a layout before the ledger log, which this program can't read.
+  enum class Kind : std::uint8_t { other, term, lead, types, job, slot, care, final, earlier };
   Kind kind = Kind::other;
   std::string id;
   std::uint32_t number = 0;
@@ -75,6 +76,29 @@
 struct CareRecord {
   std::string zone;
 };
+/// What one value of the ledger log says of a block or a host: its whole state
+/// when the value was written. Of several values that speak of the same thing
+/// the one with the highest number holds.
+struct BlockEntry {
+  std::string job;
+  std::uint32_t number = 0;
+  BlockRecord record;
+};
+struct HostEntry {
+  std::string id;
+  bool gone = false;
+  HostRecord record;
+};
+struct SlotRecord {
+  std::uint64_t number = 0;
+  std::vector<BlockEntry> blocks;
+  std::vector<HostEntry> hosts;
+};
+/// An entry packed by itself, to be put into a value with others.
+struct Packed {
+  std::string bytes;
+  std::size_t json = 0;  ///< most bytes that it takes as JSON, as limits are counted
+};
 /// The last word on a job.
 struct FinalRecord {
   wire::JobState state = wire::JobState::done;
@@ -84,20 +108,20 @@
 [[nodiscard]] std::string encode(const TermRecord& record);
 [[nodiscard]] std::string encode(const LeadRecord& record);
 [[nodiscard]] std::string encode(const JobRecord& record);
-[[nodiscard]] std::string encode(const BlockRecord& record);
-[[nodiscard]] std::string encode(const HostRecord& record);
+[[nodiscard]] Packed pack(const BlockEntry& entry);
+[[nodiscard]] Packed pack(const HostEntry& entry);
+[[nodiscard]] std::string encode_slot(std::uint64_t number, const std::vector<std::string>& blocks, const std::vector<std::string>& hosts);
 [[nodiscard]] std::string encode(const CareRecord& record);
 [[nodiscard]] std::string encode(const FinalRecord& record);
 
 [[nodiscard]] TermRecord decode_term(std::string_view packed);
 [[nodiscard]] LeadRecord decode_lead(std::string_view packed);
 [[nodiscard]] JobRecord decode_job(std::string_view packed);
-[[nodiscard]] BlockRecord decode_block(std::string_view packed);
-[[nodiscard]] HostRecord decode_host(std::string_view packed);
+[[nodiscard]] SlotRecord decode_slot(std::string_view packed);
 [[nodiscard]] CareRecord decode_care(std::string_view packed);
 [[nodiscard]] FinalRecord decode_final(std::string_view packed);
 
-/// Tasks per block so that a full block fits one value.
+/// Tasks per block: a full block takes less than half of one value.
 [[nodiscard]] std::uint32_t block_size(double value_kb);
 
 }  // namespace elmstall::ledger
--- /dev/null
+++ b/tests/committer_test.cpp
@@ -0,0 +1,171 @@
+// The ledger log: whatever gets lost, late or twice on the way to the state
+// service, what a new leader would read is what this leader counts as written.
+#include <gtest/gtest.h>
+
+#include "engine/committer.hpp"
+#include "support/fake_state.hpp"
+
+namespace elmstall::engine {
+namespace {
+
+using ledger::BlockEntry;
+using Kind = Committer::Record::Kind;
+
+/// One leader's committer over the plain state service, with blocks whose
+/// attempt numbers stand for their versions.
+class CommitterTest : public ::testing::Test {
+ protected:
+  struct Block {
+    BlockEntry entry;
+    Committer::Record* record = nullptr;
+  };
+
+  CommitterTest() : state_(loop_), runtime_(loop_, 7), store_(loop_, state_, 8), queue_(runtime_, [] {}), scope_(queue_) {
+    settings_.state_value_kb = 1;
+    settings_.txn_ops = 8;
+    wire::Txn txn;
+    txn.writes = {{std::string(ledger::kTermKey), ledger::encode(ledger::TermRecord{1}), 0}};
+    state_.commit(txn);
+    refresh();
+    committer_ = std::make_unique<Committer>(settings_, runtime_, queue_, store_, mirror_, mirror_.term_stamp(),
+                                             Committer::Events{[this](const std::string& job) { finished_.insert(job); }, [this] { deposed_ = true; }, [](double) {}});
+  }
+
+  void refresh() {
+    mirror_.restart();
+    mirror_.load(state_.list(std::string(ledger::kLive), "", 1'000'000).listing);
+  }
+  Block& add_block(int job) {
+    const std::string id = "job-" + std::to_string(job);
+    ledger::JobRecord record;
+    record.spec.id = id;
+    record.spec.lane = record.spec.team = "x";
+    record.spec.image = "i";
+    wire::Txn txn;
+    txn.writes = {{ledger::job_key(id), ledger::encode(record), 0}};
+    state_.commit(txn);
+    refresh();
+    auto& block = blocks_[id];
+    block.entry = {id, 0, {{false, false}, {{0, 0, "host-1"}}}};
+    block.record = committer_->add(Kind::block, id, [&block] { return ledger::pack(block.entry); });
+    return block;
+  }
+  void change(Block& block) {
+    ++block.entry.record.tasks[0].attempt;
+    committer_->touch(*block.record);
+  }
+  void run(double seconds) {
+    for (const double end = loop_.now() + seconds; loop_.now() < end;) {
+      committer_->flush();
+      loop_.run_until(loop_.now() + 0.05);
+      refresh();
+    }
+  }
+  std::uint64_t stored_attempt(const std::string& id) {
+    const auto* blocks = mirror_.blocks(id);
+    return blocks == nullptr || blocks->empty() ? 0 : blocks->at(0).record.tasks[0].attempt;
+  }
+
+  config::Settings settings_;
+  test::VirtualLoop loop_;
+  test::FakeState state_;
+  test::VirtualRuntime runtime_;
+  test::FakeStore store_;
+  CommandQueue queue_;
+  CommandScope scope_;
+  ledger::Mirror mirror_;
+  std::unique_ptr<Committer> committer_;
+  std::map<std::string, Block> blocks_;
+  std::set<std::string> finished_;
+  bool deposed_ = false;
+};
+
+TEST_F(CommitterTest, ACommitCostsBytesNotRecords) {
+  for (int i = 0; i < 60; ++i) change(add_block(i));
+  run(2);
+  const auto before = state_.revision();
+  // One task of each of ten jobs changes: one value, one revision.
+  for (int i = 0; i < 10; ++i) change(blocks_.at("job-" + std::to_string(i)));
+  run(1);
+  EXPECT_EQ(state_.revision(), before + 1);
+  for (const auto& [id, block] : blocks_) EXPECT_EQ(stored_attempt(id), block.entry.record.tasks[0].attempt) << id;
+}
+
+TEST_F(CommitterTest, TheLogStaysSmallAndItsValuesWithinTheLimit) {
+  for (int i = 0; i < 40; ++i) add_block(i);
+  std::mt19937 random(3);
+  for (int round = 0; round < 400; ++round) {
+    for (int i = 0; i < 5; ++i) change(blocks_.at("job-" + std::to_string(random() % 40)));
+    run(0.1);
+  }
+  run(1);
+  std::size_t slots = 0;
+  for (const auto& [key, item] : state_.items()) {
+    if (ledger::parse_key(key).kind != ledger::Key::Kind::slot) continue;
+    ++slots;
+    EXPECT_LE(wire::json_size(wire::Document::parse(item.value).root()), 1024U);
+  }
+  // 40 entries of about 70 bytes are three values' worth.
+  EXPECT_LE(slots, 16U);
+  EXPECT_GE(slots, constants::kSlotsFirst);
+}
+
+/// Answers lost, transactions applied seconds later, one version overtaking
+/// another: what counts as written is what the log says, and what is never
+/// written twice under one number.
+TEST_F(CommitterTest, LostAndLateTransactionsDoNoHarm) {
+  for (unsigned seed = 1; seed <= 5; ++seed) {
+    std::mt19937 random(seed);
+    for (int i = 0; i < 20; ++i) add_block(static_cast<int>(seed) * 100 + i);
+    store_.road = {false, 0.3, 0.7};
+    for (int round = 0; round < 200; ++round) {
+      auto& block = std::next(blocks_.begin(), static_cast<std::ptrdiff_t>(random() % blocks_.size()))->second;
+      if (block.record != nullptr) change(block);
+      run(0.1);
+      for (const auto& [id, one] : blocks_) {
+        if (one.record == nullptr) continue;
+        ASSERT_GE(stored_attempt(id), one.record->written) << id;
+      }
+    }
+    store_.road = {};
+    run(20);
+    for (const auto& [id, block] : blocks_) {
+      if (block.record == nullptr) continue;
+      ASSERT_TRUE(block.record->clean()) << id;
+      ASSERT_EQ(stored_attempt(id), block.entry.record.tasks[0].attempt) << id;
+    }
+  }
+  EXPECT_FALSE(deposed_);
+}
+
+/// Until a job's last word is written its blocks stay in the log: a leader
+/// that found none would hand out its attempt numbers again.
+TEST_F(CommitterTest, BlocksOutliveTheirSlotUntilTheLastWord) {
+  auto& block = add_block(1);
+  change(block);
+  run(1);
+  store_.road.refused = true;
+  committer_->finish({"job-1", {wire::JobState::done, 2}, {block.record}});
+  block.record = nullptr;
+  for (int i = 2; i < 30; ++i) change(add_block(i));
+  run(2);
+  EXPECT_EQ(stored_attempt("job-1"), 1U);
+  store_.road.refused = false;
+  run(3);
+  EXPECT_TRUE(finished_.contains("job-1"));
+  EXPECT_EQ(mirror_.job("job-1"), nullptr);
+  EXPECT_TRUE(state_.items().contains(ledger::final_key("job-1")));
+}
+
+TEST_F(CommitterTest, AFormerLeadersTransactionFails) {
+  change(add_block(1));
+  wire::Txn txn;
+  txn.writes = {{std::string(ledger::kTermKey), ledger::encode(ledger::TermRecord{2}), 0}};
+  state_.commit(txn);
+  run(1);
+  EXPECT_TRUE(deposed_);
+  EXPECT_EQ(stored_attempt("job-1"), 0U);
+}
+
+}  // namespace
+}  // namespace elmstall::engine
