--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -6,6 +6,7 @@
 #include "config/constants.hpp"
 #include "engine/node.hpp"
 #include "fleet/cloud_client.hpp"
+#include "fleet/worker_client.hpp"
 #include "ledger/state_client.hpp"
 #include "mesh/tcp_mesh.hpp"
 #include "net/http_server.hpp"
@@ -58,7 +59,8 @@
         runtime(io),
         store(io, net::parse_endpoint(settings.state_endpoint), rate_share(settings)),
         cloud(io, net::parse_endpoint(settings.cloud_endpoint)),
-        node(settings, {runtime, store, cloud}, runtime.incarnation()),
+        workers(io, static_cast<std::size_t>(settings.fd_limit * constants::kWorkerSocketShare)),
+        node(settings, {runtime, store, cloud, workers}, runtime.incarnation()),
         mesh(io, net::parse_endpoint(settings.mesh_addr), settings.peers, [this](mesh::Message message) { node.on_message(std::move(message)); }),
         server(io, net::parse_endpoint(settings.api_addr), server_limits(settings),
                [this](net::Request request, net::Responder respond) { node.on_request(std::move(request), std::move(respond)); }) {
@@ -69,6 +71,7 @@
   AsioRuntime runtime;
   ledger::StateClient store;
   fleet::CloudClient cloud;
+  fleet::WorkerClient workers;
   engine::Node node;
   mesh::TcpMesh mesh;
   net::HttpServer server;
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -23,6 +23,8 @@
 inline constexpr double kReportReplyLimit = 4.0;
 /// Machines per rental request.
 inline constexpr int kMaxRentCount = 50;
+/// Machines per request to delete some.
+inline constexpr std::size_t kMaxReleaseCount = 100;
 /// Entries per page asked of the state service and of the cloud list.
 inline constexpr int kStatePage = 1000;
 inline constexpr int kCloudPage = 500;
@@ -94,9 +96,6 @@
 // --- engine ------------------------------------------------------------------
 /// Seconds. Interval of the engine's periodic work.
 inline constexpr double kTick = 0.25;
-/// Seconds. Longest a report's answer is held for the commit that its orders
-/// wait for; far below the worker's 4 s.
-inline constexpr double kReportHold = 0.3;
 /// Seconds. Longest a user's request waits for proof or commit.
 inline constexpr double kUserDeadline = 4.0;
 /// Seconds. Longest a poll waits; users give up after 2 s.
@@ -136,6 +135,25 @@
 /// changes that the state service takes, with room for users' own.
 inline constexpr double kCommitEvery = 0.12;
 
+// --- direct orders ---------------------------------------------------------------
+/// Seconds. Longest wait for a worker's answer to orders: a good deal above the
+/// slowest round trip between zones, a good deal below a short lease.
+inline constexpr double kOrdersTimeout = 2.0;
+/// Seconds. After an exchange that failed the machine gets its orders with the
+/// answers to its reports for this long.
+inline constexpr double kOrdersPause = 6.0;
+/// Exchanges in flight at once, and takeover exchanges begun per tick: they
+/// share the processor with the reports.
+inline constexpr std::size_t kExchangesMax = 48;
+inline constexpr std::size_t kSyncPerTick = 24;
+/// Share of the socket limit for connections to workers.
+inline constexpr double kWorkerSocketShare = 0.08;
+/// Share of a lease after which a machine that shows no effect of what it was
+/// told, though its reports arrive, counts as deaf.
+inline constexpr double kDeafShare = 0.7;
+/// Leases after which a machine that stays deaf is returned to the cloud.
+inline constexpr double kDeafLeases = 3.0;
+
 // --- overload ------------------------------------------------------------------
 /// Requests in progress: first limit, and the bounds it moves in.
 inline constexpr double kLimitStart = 64;
@@ -164,6 +182,19 @@
 /// by which the job is put behind others: small jobs first gets more of them
 /// done in time when there is not room for all.
 inline constexpr double kSmallFirst = 1.0;
+/// Seconds. A job that has waited this long without beginning goes first of
+/// its rank, whatever its size: users expect the largest to begin within four
+/// minutes, and machines may first have to be rented and booted for it.
+inline constexpr double kBeginWithin = 90.0;
+/// Seconds. Interval at which every machine is looked at for what only time
+/// changes.
+inline constexpr double kReviewEvery = 1.0;
+/// Seconds. Interval of decisions: what happens meanwhile is decided together.
+inline constexpr double kDecideEvery = 0.05;
+/// Seconds. Pause of a job for which stopping others made no room, and
+/// searches for such room in one round: each walks through all machines.
+inline constexpr double kDisplaceEvery = 1.0;
+inline constexpr int kDisplaceSearches = 4;
 /// Share of its aim by which late work's next aim lies later, and how often.
 inline constexpr double kTierStep = 0.5;
 inline constexpr int kMaxTier = 8;
@@ -192,6 +223,9 @@
 /// Seconds. Interval of fleet decisions and of reading the machine list.
 inline constexpr double kFleetEvery = 2.0;
 inline constexpr double kListEvery = 5.0;
+/// Seconds. Deletions are gathered for this long: each request counts against
+/// the cloud's rate, and takes up to a hundred names.
+inline constexpr double kReleaseEvery = 1.0;
 /// Seconds. The pause after `no capacity`, doubled up to the maximum.
 inline constexpr double kNoCapacityPause = 10.0;
 inline constexpr double kNoCapacityPauseMax = 40.0;
--- a/src/engine/caretaker.cpp
+++ b/src/engine/caretaker.cpp
@@ -34,7 +34,10 @@
     if (job == nullptr || !job->record.cancelled || task.state == wire::TaskState::ended) continue;
     orders.push_back({wire::Verb::stop, task.job, task.index, task.attempt, 0});
   }
-  respond({200, wire::encode_orders(mirror_.term() << k::kTokenFenceBits, orders), 0});
+  // The leader may have raised this machine's fence: a lower token than it has
+  // seen would be dropped, and with it the lease.
+  const bool present = report.token >> k::kTokenFenceBits == mirror_.term();
+  respond({200, wire::encode_orders(present ? report.token : mirror_.term() << k::kTokenFenceBits, orders), 0});
 }
 
 void Caretaker::begin() {
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -22,10 +22,12 @@
     listed_.clear();
     read_list("");
   }
-  if (now < next_plan_) return;
-  next_plan_ = now + k::kFleetEvery;
-  review_hosts(now);
-  plan(now);
+  if (now >= next_plan_) {
+    next_plan_ = now + k::kFleetEvery;
+    review_hosts(now);
+    plan(now);
+  }
+  send_releases();
 }
 
 void FleetKeeper::read_list(const std::string& since) {
@@ -65,17 +67,33 @@
 }
 
 void FleetKeeper::release(Host& host) {
-  const double now = runtime_.now();
-  if (now - host.release_tried < k::kFleetEvery) return;
   host.releasing = true;
-  host.release_tried = now;
-  cloud_.release({host.id}, scope_.wrap([this, id = host.id](bool ok) {
-    auto* found = model_.find_host(id);
-    if (found == nullptr || !ok) return;  // review_hosts tries again
-    spdlog::info("host {} returned", id);
-    gone_(*found);
-    found->heard = found->synced = false;
-    model_.remove_host(id);
+  model_.note(host);
+}
+
+void FleetKeeper::send_releases() {
+  const double now = runtime_.now();
+  if (releasing_ || now < next_release_) return;
+  std::vector<std::string> names;
+  for (const auto& [id, host] : model_.hosts()) {
+    if (host->releasing && names.size() < k::kMaxReleaseCount) names.push_back(id);
+  }
+  if (names.empty()) return;
+  releasing_ = true;
+  next_release_ = now + k::kReleaseEvery;
+  cloud_.release(names, scope_.wrap([this, names](bool ok) {
+    releasing_ = false;
+    if (!ok) {
+      next_release_ = runtime_.now() + k::kFleetEvery;
+      return;
+    }
+    for (const auto& id : names) {
+      auto* found = model_.find_host(id);
+      if (found == nullptr) continue;
+      spdlog::info("host {} returned", id);
+      gone_(*found);
+      model_.remove_host(id);
+    }
   }));
 }
 
@@ -83,6 +101,7 @@
   const double lease = settings_.lease_over_s();
   std::vector<Host*> silent;
   std::size_t heard = 0;
+  std::vector<Host*> deaf;
   for (auto& [id, slot] : model_.hosts()) {
     auto& host = *slot;
     if (host.releasing || host.listed_failed) {
@@ -92,6 +111,7 @@
     if (host.heard) {
       ++heard;
       if (host.tasks.empty() && host.quarantined) release(host);
+      else if (host.deaf && host.quiet(now) <= settings_.silent_after_s()) deaf.push_back(&host);
       else if (host.quiet(now) > settings_.silent_after_s()) silent.push_back(&host);
       continue;
     }
@@ -108,6 +128,12 @@
   // One silent machine is most likely dead. When many fall silent at once it
   // is the network, and deleting them would turn a cut into a loss.
   const bool reflex = silent.size() * 3 > heard && silent.size() > 1;
+  // The same holds for machines that don't hear us.
+  if (deaf.size() * 3 <= heard || deaf.size() == 1) {
+    for (auto* host : deaf) {
+      if (now - host->unheeded_since > k::kDeafLeases * lease) release(*host);
+    }
+  }
   for (auto* host : silent) {
     const double quiet = host->quiet(now);
     const double lag = 2 * settings_.list_lag_s + 1;
@@ -127,15 +153,16 @@
         pool.blocked = state->second.pending || state->second.blocked_until > now;
         if (state->second.pending) pool.booting += state->second.count;
       }
-      for (const auto& [id, host] : model_.hosts()) {
-        if (host->type != flavor.name || host->zone != zone || host->spot != spot) continue;
-        if (host->releasing || host->quarantined || host->recall_at || host->listed_failed) continue;
-        if (!host->heard) ++pool.booting;
-        else if (host->quiet(now) < settings_.silent_after_s()) ++pool.alive;
-      }
       pools.push_back(std::move(pool));
     }
   }
+  for (const auto& [id, host] : model_.hosts()) {
+    if (host->type != flavor.name || host->releasing || host->quarantined || host->recall_at || host->listed_failed) continue;
+    const auto pool = std::find_if(pools.begin(), pools.end(), [&, one = host.get()](const sched::Pool& other) { return other.spot == one->spot && other.zone == one->zone; });
+    if (pool == pools.end()) continue;
+    if (!host->heard) ++pool->booting;
+    else if (host->quiet(now) < settings_.silent_after_s()) ++pool->alive;
+  }
   return pools;
 }
 
@@ -183,12 +210,9 @@
     }
     // No more than the team's limit allows at once.
     auto& sum = wanted[job->spec.team];
-    for (std::uint32_t left = job->spec.tasks - job->finished_tasks; left > 0; --left) {
-      if (!sched::within_limit(*team, sum + job->need)) break;
-      sum += job->need;
-      (job->spec.spot ? demand.flexible : demand.ordinary) += share;
-      if (demand.flexible > 1000 || demand.ordinary > 1000) break;
-    }
+    const auto count = sched::within_limit_count(*team, sum, job->need, job->spec.tasks - job->finished_tasks);
+    sum += job->need * count;
+    (job->spec.spot ? demand.flexible : demand.ordinary) += share * count;
   }
   counted_ = newest;
   // What is rented now serves the demand of one boot later.
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -16,7 +16,7 @@
               Estimates& estimates, std::uint64_t term, std::function<void(Host&)> gone);
 
   void tick();
-  /// Asks the cloud to delete the machine, which proves its tasks gone.
+  /// Has the cloud delete the machine, which proves its tasks gone.
   void release(Host& host);
 
  private:
@@ -29,6 +29,7 @@
   };
   using PoolKey = std::tuple<std::string, std::string, bool>;
 
+  void send_releases();
   void read_list(const std::string& since);
   void finish_list();
   void review_hosts(double now);
@@ -57,6 +58,8 @@
   double started_ = 0;
   double next_plan_ = kNever;
   double next_list_ = kNever;
+  bool releasing_ = false;  ///< a request is under way
+  double next_release_ = kNever;
   bool listing_ = false;
   bool ever_listed_ = false;
   std::vector<wire::CloudHost> listed_;
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -21,7 +21,10 @@
                  {[this](const std::string& job) { model_.remove_job(job); },
                   // Not from inside the committer, which goes with the leader.
                   [this] { context_.queue.post(context_.deposed); },
-                  [this](double sent) { confirm(sent); }}),
+                  [this](double sent) {
+                    confirm(sent);
+                    orders_due_ = true;
+                  }}),
       model_(context.settings, committer_),
       planner_(context.settings, model_, estimates_),
       fleet_(context.settings, context.runtime, context.queue, context.cloud, model_, estimates_, term,
@@ -92,10 +95,10 @@
 }
 
 void Leader::on_change(const std::vector<ledger::Key>& keys) {
-  note_caretakers(context_.runtime.now());
-  decide_ = true;
   for (const auto& key : keys) {
+    if (key.kind == ledger::Key::Kind::care) note_caretakers(context_.runtime.now());
     if (key.kind != ledger::Key::Kind::job) continue;
+    decide_ = true;
     const auto* stored = context_.mirror.job(key.id);
     if (stored == nullptr) continue;
     auto* job = model_.job(key.id);
@@ -111,6 +114,7 @@
 
 void Leader::cancel(Job& job) {
   spdlog::info("job {} cancelled", job.id);
+  model_.ending().insert(&job);
   for (auto& [number, block] : job.blocks) {
     for (auto& task : block->tasks) {
       planner_.forget(task);
@@ -125,7 +129,8 @@
 }
 
 void Leader::close_jobs() {
-  for (auto& [id, job] : model_.jobs()) {
+  for (auto* job : std::exchange(model_.ending(), {})) {
+    const auto& id = job->id;
     if (committer_.finishing(id)) continue;
     const bool over = job->cancelled ? job->on_hosts == 0 : job->all_done();
     if (!over) continue;
@@ -139,6 +144,8 @@
 // --- machines ------------------------------------------------------------------
 
 void Leader::host_gone(Host& host, const char* why) {
+  planner_.gone(host);
+  model_.note(host);
   if (!host.tasks.empty()) spdlog::info("host {}: {} tasks are gone with it ({})", host.id, host.tasks.size(), why);
   const auto tasks = host.tasks;
   for (auto* task : tasks) {
@@ -181,9 +188,10 @@
   const double lease = context_.settings.lease_over_s();
   for (auto& [id, host] : model_.hosts()) {
     if (host->tasks.empty()) continue;
-    // Held answers count as given: they may go out at any moment.
-    if (held_.contains(id)) continue;
-    const double alive_until = std::max({host->inherited_until, host->last_answer + lease, host->cared_at + lease});
+    // A session may have begun just before we heard of it, and direct orders
+    // start tasks in one that was never answered: hearing counts as well.
+    const double touched = std::max({host->last_answer, host->last_report, host->cared_at});
+    const double alive_until = std::max(host->inherited_until, touched + lease);
     if (alive_until == kNever || now < alive_until || host->cared || host->record == nullptr) continue;
     if (!host->retired) {
       retire(*host);
@@ -198,20 +206,72 @@
 
 // --- reports ---------------------------------------------------------------------
 
+bool Leader::news(const Host& host, const wire::Report& report) {
+  // Late copies: the task list is as old as the report.
+  return !host.heard || std::pair(report.session, report.tick) > std::pair(host.session, host.tick);
+}
+
 void Leader::on_report(wire::Report report, net::Responder respond) {
   const double now = context_.runtime.now();
   if (!entitled()) return respond({503, {}, 0});
   if (model_.released(report.host)) return respond({503, {}, 0});
   auto& host = model_.host(report.host);
-  // Late copies: the task list is as old as the report.
-  if (host.heard && std::pair(report.session, report.tick) <= std::pair(host.session, host.tick)) return respond({503, {}, 0});
-  if (const auto held = held_.find(host.id); held != held_.end()) {
-    held->second.respond({503, {}, 0});  // the worker has given this one up
-    held_.erase(held);
+  if (!news(host, report)) {
+    // Either a late copy, or it crossed a reply to direct orders, which is
+    // newer: then the worker is waiting, and its lease has to be renewed.
+    const bool crossed = report.session == host.session && now - host.exchanged_at < k::kReportReplyLimit;
+    if (!crossed) return respond({503, {}, 0});
+    host.last_answer = now;
+    return respond({200, wire::encode_orders(token(host), {}), 0});
   }
+  judge_hearing(host, report, now);
+  // A worker has one report in flight and drops late answers: what the last
+  // answer ordered was carried out before this report, or never will be.
+  host.answered_orders = false;
   read_report(host, report, now);
-  held_[host.id] = {std::move(respond), now + k::kReportHold};
-  context_.runtime.after(k::kReportHold, scope_.wrap([] {}));  // a batch then looks at it again
+  answer(host, respond, now);
+}
+
+void Leader::answer(Host& host, const net::Responder& respond, double now) {
+  std::vector<wire::Order> orders;
+  // One way at a time: a reply to direct orders that are in flight would not
+  // show what this answer orders.
+  if (!host.exchanging) orders = orders_for(host);
+  host.answered_orders = std::any_of(orders.begin(), orders.end(), [](const wire::Order& order) { return order.verb != wire::Verb::clear; });
+  const bool awaited = host.answered_orders || !host.synced;
+  if (awaited && host.unheeded_since == kNever) host.unheeded_since = now;
+  host.last_answer = now;
+  respond({200, wire::encode_orders(token(host), orders), 0});
+}
+
+void Leader::raise_fence(Host& host) {
+  // Never as far as the next term's tokens.
+  if (host.fence + 1 >= 1U << k::kTokenFenceBits) return;
+  ++host.fence;
+  host.synced = false;
+  model_.note(host);
+}
+
+void Leader::judge_hearing(Host& host, const wire::Report& report, double now) {
+  // Reports that arrive prove that a machine lives, not that it hears us: our
+  // answers may be lost on the way, and with them its lease.
+  const bool heeds = report.token >= token(host) && std::all_of(host.tasks.begin(), host.tasks.end(), [&](const Task* task) {
+    if (!host.answered_orders || task->phase != Phase::assigned || task->seen || !task->offered) return true;
+    return std::any_of(report.tasks.begin(), report.tasks.end(), [&](const wire::TaskReport& one) { return one.index == task->index && one.job == task->job->id; });
+  });
+  if (heeds) {
+    if (host.deaf) spdlog::info("host {} hears us again", host.id);
+    host.deaf = false;
+    host.unheeded_since = kNever;
+  }
+  // Its lease ran out though its reports were being answered.
+  const bool lapsed = host.grounded && report.session > host.session && now - host.last_answer < context_.settings.lease_s / 2;
+  const bool unheeded = host.unheeded_since != kNever && now - host.unheeded_since > k::kDeafShare * context_.settings.lease_s;
+  if (host.deaf || (!lapsed && !unheeded)) return;
+  spdlog::info("host {} does not hear us: {}", host.id, lapsed ? "its lease ran out while its reports were answered" : "it shows no effect of our answers");
+  host.deaf = true;
+  host.unheeded_since = now;
+  raise_fence(host);
 }
 
 void Leader::read_report(Host& host, const wire::Report& report, double now) {
@@ -225,15 +285,18 @@
   // A later session knows nothing of the tasks of an earlier one. That proves
   // something only for a synchronised host: of others, two late reports may
   // show two sessions that were both over before its tasks began.
-  if (host.synced && report.session > host.session) host_gone(host, "its session ended");
+  // What was ordered in that session is void in this, however late it comes.
+  if (host.grounded && report.session > host.session) host_gone(host, "its session ended");
   unretire(host);
   host.heard = true;
   host.session = report.session;
   host.tick = report.tick;
   host.last_report = now;
-  // Only our own answer can have taught it our token, so this report was
-  // sent after the takeover, and nobody else has given it orders since.
-  host.synced = host.synced || report.token >= token();
+  model_.note(host);
+  // Only we can have taught it this token, so this report was sent after the
+  // takeover, or after the fence was raised, and older orders are void there.
+  host.synced = report.token >= token(host);
+  host.grounded = host.grounded || host.synced;
   if (report.recall_s) host.recall_at = now + *report.recall_s;
   host.exited.clear();
   host.stray.clear();
@@ -241,8 +304,11 @@
   host.foreign = false;
   for (auto* task : host.tasks) task->seen = false;
   for (const auto& task : report.tasks) read_task(host, task, now);
-  if (host.synced) absent_tasks(host);
+  // While direct orders are in flight a report may be older than their effect.
+  if (host.synced && !host.exchanging) absent_tasks(host);
   if (host.recall_at) handle_recall(host, now);
+  model_.attention().insert(&host);
+  orders_due_ = true;
 }
 
 void Leader::read_task(Host& host, const wire::TaskReport& report, double now) {
@@ -317,8 +383,8 @@
 }
 
 void Leader::absent_tasks(Host& host) {
-  // The report is exact: an answer to an earlier report was carried out
-  // before this one was sent, or never will be.
+  // The report is exact: what was ordered before was carried out before it
+  // was sent, or never will be.
   const auto tasks = host.tasks;
   for (auto* task : tasks) {
     if (task->phase != Phase::assigned || task->seen) continue;
@@ -342,16 +408,14 @@
   }
 }
 
-bool Leader::settled(const Host& host) {
-  const auto written = [](const Task* task) { return task->phase != Phase::assigned || task->block->record->written >= task->needs; };
-  if (!std::all_of(host.tasks.begin(), host.tasks.end(), written)) return false;
-  return std::all_of(host.exited.begin(), host.exited.end(), [this](const Exited& exited) {
-    auto* job = model_.job(exited.job);
-    if (job == nullptr || committer_.finishing(exited.job)) return job == nullptr;
-    const auto size = ledger::block_size(context_.settings.state_value_kb);
-    const auto block = job->blocks.find(exited.index / size);
-    return block == job->blocks.end() || block->second->record->clean();
-  });
+bool Leader::may_clear(const Exited& exited) {
+  // Only after what it reported is recorded: once cleared, the worker would
+  // start the attempt anew.
+  auto* job = model_.job(exited.job);
+  if (job == nullptr) return true;
+  if (committer_.finishing(exited.job)) return false;
+  const auto block = job->blocks.find(exited.index / ledger::block_size(context_.settings.state_value_kb));
+  return block == job->blocks.end() || block->second->record->clean();
 }
 
 std::vector<wire::Order> Leader::orders_for(Host& host) {
@@ -371,37 +435,82 @@
       task->offered = true;
     }
   }
-  const auto size = ledger::block_size(context_.settings.state_value_kb);
   for (const auto& exited : host.exited) {
     if (orders.size() >= k::kMaxOrders) break;
-    // Only after what it reported is recorded: once cleared, the worker
-    // would start the attempt anew.
-    auto* job = model_.job(exited.job);
-    if (job != nullptr) {
-      if (committer_.finishing(exited.job)) continue;
-      const auto block = job->blocks.find(exited.index / size);
-      if (block != job->blocks.end() && !block->second->record->clean()) continue;
-    }
-    orders.push_back({wire::Verb::clear, exited.job, exited.index, exited.attempt, 0});
+    if (may_clear(exited)) orders.push_back({wire::Verb::clear, exited.job, exited.index, exited.attempt, 0});
   }
   return orders;
 }
 
-void Leader::answer_held(double now) {
-  for (auto it = held_.begin(); it != held_.end();) {
-    auto* host = model_.find_host(it->first);
-    if (host != nullptr && entitled() && now < it->second.until && !settled(*host)) {
-      ++it;
+// --- direct orders -----------------------------------------------------------------
+
+void Leader::give_orders() {
+  if (!std::exchange(orders_due_, false) || !entitled()) return;
+  const double now = context_.runtime.now();
+  auto& attention = model_.attention();
+  for (auto it = attention.begin(); it != attention.end();) {
+    auto* host = *it;
+    if (!host->synced) {
+      it = attention.erase(it);  // its next report brings it back
       continue;
     }
-    auto respond = std::move(it->second.respond);
-    it = held_.erase(it);
-    if (host == nullptr || !entitled()) {
-      respond({503, {}, 0});
-      continue;
+    const bool waits = std::any_of(host->tasks.begin(), host->tasks.end(), [](const Task* task) {
+      return task->phase == Phase::assigned && (task->stopping || (!task->seen && !task->job->cancelled));
+    });
+    const bool way = !host->exchanging && !host->answered_orders && now >= host->direct_after && !host->addr.empty();
+    if (waits && way && exchanges_ < k::kExchangesMax) {
+      auto orders = orders_for(*host);
+      // Clearing alone is not worth a message of its own.
+      if (std::any_of(orders.begin(), orders.end(), [](const wire::Order& order) { return order.verb != wire::Verb::clear; })) exchange(*host, std::move(orders));
     }
-    host->last_answer = now;
-    respond({200, wire::encode_orders(token(), orders_for(*host)), 0});
+    it = waits ? std::next(it) : attention.erase(it);
+  }
+}
+
+void Leader::exchange(Host& host, std::vector<wire::Order> orders) {
+  host.exchanging = true;
+  ++exchanges_;
+  // The session of a machine that is not known yet is most likely its first;
+  // if not, the refusal tells.
+  const std::uint64_t session = std::max<std::uint64_t>(1, host.session);
+  context_.workers.order(host.addr, token(host), session, orders,
+                         scope_.wrap([this, id = host.id, stated = !orders.empty()](const fleet::OrdersResult& result) { on_exchange(id, stated, result); }));
+}
+
+void Leader::on_exchange(const std::string& id, bool stated, const fleet::OrdersResult& result) {
+  using Outcome = fleet::OrdersResult::Outcome;
+  --exchanges_;
+  orders_due_ = true;
+  auto* host = model_.find_host(id);
+  if (host == nullptr) return;
+  host->exchanging = false;
+  host->exchanged_at = context_.runtime.now();
+  model_.attention().insert(host);
+  const double now = context_.runtime.now();
+  if (result.outcome == Outcome::never || result.outcome == Outcome::unknown) {
+    host->direct_after = now + k::kOrdersPause;
+    // They may yet be carried out, minutes later. From now on every word to
+    // the machine carries a higher token, which makes them void; until the
+    // machine has shown it, nothing that they name is given to another.
+    if (result.outcome == Outcome::unknown && stated) raise_fence(*host);
+    return;
+  }
+  if (!result.report || result.report->host != id || !news(*host, *result.report)) return;
+  read_report(*host, *result.report, now);
+}
+
+void Leader::synchronise(double now) {
+  // After a takeover: nothing may be moved before a machine has shown the new
+  // token, and its next report may be long in coming.
+  std::size_t left = k::kSyncPerTick;
+  for (auto& [id, host] : model_.hosts()) {
+    if (left == 0 || exchanges_ >= k::kExchangesMax) return;
+    const bool known = host->recorded() && !host->addr.empty() && !host->grounded && !host->releasing;
+    if (!known || host->exchanging || now < host->direct_after) continue;
+    if (host->heard && now - host->last_answer < 1) continue;  // its answer is on the way
+    --left;
+    host->direct_after = now + 1;
+    exchange(*host, {});
   }
 }
 
@@ -410,21 +519,24 @@
   note_caretakers(context_.runtime.now());
   expire_hosts(context_.runtime.now());
   fleet_.tick();
+  if (entitled()) synchronise(context_.runtime.now());
+  orders_due_ = true;
 }
 
 void Leader::after_batch() {
   const double now = context_.runtime.now();
-  if (std::exchange(decide_, false)) {
-    planner_.decide(now);
-    close_jobs();
+  if (decide_) {
+    if (now >= next_decide_) {
+      decide_ = false;
+      next_decide_ = now + k::kDecideEvery;
+      planner_.decide(now);
+      close_jobs();
+    } else if (!std::exchange(woken_, true)) {
+      context_.runtime.after(next_decide_ - now, scope_.wrap([this] { woken_ = false; }));
+    }
   }
   committer_.flush();
-  answer_held(now);
-}
-
-void Leader::resign() {
-  for (auto& [id, held] : held_) held.respond({503, {}, 0});
-  held_.clear();
+  give_orders();
 }
 
 }  // namespace elmstall::engine
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -5,6 +5,7 @@
 #include "engine/fleet_keeper.hpp"
 #include "engine/planner.hpp"
 #include "engine/proof.hpp"
+#include "fleet/workers.hpp"
 #include "net/http_server.hpp"
 
 namespace elmstall::engine {
@@ -17,6 +18,7 @@
     CommandQueue& queue;
     ledger::Store& store;
     fleet::Cloud& cloud;
+    fleet::Workers& workers;
     const ledger::Mirror& mirror;
     const Proof& proof;
     std::function<void()> deposed;
@@ -32,9 +34,6 @@
   void confirm(double sent) { confirmed_ = std::max(confirmed_, sent); }
   void tick();
   void after_batch();
-  /// Answers what is still held: the next leader takes over.
-  void resign();
-
   [[nodiscard]] std::uint64_t term() const { return term_; }
   [[nodiscard]] std::uint64_t token() const { return term_ << constants::kTokenFenceBits; }
   /// May this node still act for the controllers.
@@ -43,11 +42,6 @@
   [[nodiscard]] const Planner& planner() const { return planner_; }
 
  private:
-  struct Held {
-    net::Responder respond;
-    double until = 0;
-  };
-
   void rebuild();
   void adopt_block(Job& job, std::uint32_t number, const ledger::Mirror::Block& stored);
   void add_job(const std::string& id, const ledger::JobRecord& record);
@@ -61,15 +55,23 @@
   void record_host(Host& host, const ledger::Mirror::Host* stored);
   [[nodiscard]] double inherited_until() const;
 
+  [[nodiscard]] std::uint64_t token(const Host& host) const { return token() + host.fence; }
+  [[nodiscard]] static bool news(const Host& host, const wire::Report& report);
+  void answer(Host& host, const net::Responder& respond, double now);
+  void raise_fence(Host& host);
+  void judge_hearing(Host& host, const wire::Report& report, double now);
+  void give_orders();
+  void exchange(Host& host, std::vector<wire::Order> orders);
+  void on_exchange(const std::string& id, bool stated, const fleet::OrdersResult& result);
+  void synchronise(double now);
   void read_report(Host& host, const wire::Report& report, double now);
   void read_task(Host& host, const wire::TaskReport& report, double now);
   void task_ended(Task& task, Host& host, const wire::TaskReport& report, double now);
   void task_failed(Task& task, Host& host, double now);
   void absent_tasks(Host& host);
   void handle_recall(Host& host, double now);
-  [[nodiscard]] bool settled(const Host& host);
   [[nodiscard]] std::vector<wire::Order> orders_for(Host& host);
-  void answer_held(double now);
+  [[nodiscard]] bool may_clear(const Exited& exited);
 
   Context context_;
   std::uint64_t term_;
@@ -80,10 +82,13 @@
   Estimates estimates_;
   Planner planner_;
   FleetKeeper fleet_;
-  std::map<std::string, Held> held_;
+  std::size_t exchanges_ = 0;  ///< in flight
+  bool orders_due_ = true;
   /// Something happened that scheduling has to look at; users' polls and the
   /// answers of the state service are not of that kind.
   bool decide_ = true;
+  bool woken_ = false;  ///< a batch will come when the next decision may be made
+  double next_decide_ = kNever;
   CommandScope scope_;
 };
 
--- a/src/engine/model.cpp
+++ b/src/engine/model.cpp
@@ -1,6 +1,7 @@
 #include "engine/model.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "config/constants.hpp"
 
@@ -22,7 +23,13 @@
   job->submitted = submitted;
   const auto size = ledger::block_size(settings_.state_value_kb);
   job->block_count = (record.spec.tasks + size - 1) / size;
+  job->team = settings_.team(record.spec.team);
+  job->team_usage = &usage_[record.spec.team];
+  job->image = image_numbers_.try_emplace(record.spec.image, static_cast<std::uint32_t>(image_numbers_.size())).first->second;
   by_serial_[job->serial] = job.get();
+  open_.insert(job.get());
+  ending_.insert(job.get());
+  include_need(*job);
   return *(jobs_[id] = std::move(job));
 }
 
@@ -30,6 +37,8 @@
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
   by_serial_.erase(found->second->serial);
+  open_.erase(found->second.get());
+  ending_.erase(found->second.get());
   jobs_.erase(found);
 }
 
@@ -122,10 +131,44 @@
   const auto found = hosts_.find(id);
   if (found == hosts_.end()) return;
   released_.insert(id);
+  touched_.erase(found->second.get());
+  attention_.erase(found->second.get());
   if (found->second->record != nullptr) committer_.discard(*found->second->record, ledger::pack(ledger::HostEntry{id, true, {}}));
   hosts_.erase(found);
 }
 
+void Model::note(Host& host) {
+  if (std::exchange(host.touched, true)) return;
+  touched_.insert(&host);
+}
+
+std::vector<Host*> Model::take_touched() {
+  std::vector<Host*> hosts(touched_.begin(), touched_.end());
+  touched_.clear();
+  for (auto* host : hosts) host->touched = false;
+  return hosts;
+}
+
+void Model::include_need(const Job& job) {
+  auto& least = least_need_;
+  const auto take = [](double& smallest, double need) { smallest = smallest <= 0 ? need : std::min(smallest, need); };
+  take(least.cpus, job.need.cpus);
+  take(least.memory_gb, job.need.memory_gb);
+  // Not every task needs one of these.
+  least.gpus = jobs_.empty() ? job.need.gpus : std::min(least.gpus, job.need.gpus);
+}
+
+void Model::refresh_least_need() {
+  least_need_ = {};
+  bool first = true;
+  for (const auto& [id, job] : jobs_) {
+    if (job->cancelled) continue;
+    if (first) least_need_ = job->need;
+    first = false;
+    least_need_ = {std::min(least_need_.cpus, job->need.cpus), std::min(least_need_.gpus, job->need.gpus), std::min(least_need_.memory_gb, job->need.memory_gb)};
+  }
+}
+
 void Model::set_flavors(std::vector<wire::Flavor> flavors) {
   flavors_ = std::move(flavors);
   for (auto& [id, host] : hosts_) {
@@ -154,6 +197,8 @@
   usage_[task.job->spec.team] += task.job->need;
   ++task.job->per_zone[host.zone];
   ++task.job->on_hosts;
+  ++on_hosts_[static_cast<std::size_t>(task.job->spec.priority)];
+  note(host);
 }
 
 void Model::detach(Task& task) {
@@ -165,6 +210,10 @@
   auto& in_zone = task.job->per_zone[host.zone];
   if (--in_zone == 0) task.job->per_zone.erase(host.zone);
   --task.job->on_hosts;
+  --on_hosts_[static_cast<std::size_t>(task.job->spec.priority)];
+  open_.insert(task.job);
+  ending_.insert(task.job);
+  note(host);
   task.host = nullptr;
   task.offered = task.seen = task.stopping = false;
   task.wind_down_s = 0;
@@ -176,9 +225,11 @@
 void Model::plan(Task& task, Host& host) {
   attach(task, host);
   task.phase = Phase::planned;
+  planned_.insert(&task);
 }
 
 void Model::unplan(Task& task) {
+  planned_.erase(&task);
   detach(task);
   task.phase = Phase::pending;
 }
@@ -189,10 +240,12 @@
   task.phase = Phase::assigned;
   task.state = wire::TaskState::fetching;
   task.since = now;
+  attention_.insert(&host);
   ++task.attempt;
   touch(task);
   task.needs = task.block->record->version;
-  const auto& image = task.job->spec.image;
+  task.job->begun = true;
+  const auto image = task.job->image;
   std::erase(host.images, image);
   host.images.push_back(image);
   if (host.images.size() > kImagesRemembered) host.images.pop_front();
@@ -204,6 +257,7 @@
   task.attempt = attempt;
   task.since = now;
   task.offered = true;  // by the former leader, as far as we know
+  task.job->begun = true;
 }
 
 void Model::release(Task& task) {
@@ -218,6 +272,7 @@
   auto& block = *task.block;
   block.done[task.index - block.first] = true;
   ++task.job->finished_tasks;
+  ending_.insert(task.job);
   touch(task);
   if (std::all_of(block.done.begin(), block.done.end(), [](bool done) { return done; })) {
     // The record needs only the bits from here on.
@@ -252,8 +307,7 @@
 }
 
 bool Model::within_quota(const Job& job) const {
-  const auto* team = settings_.team(job.spec.team);
-  return team != nullptr && sched::within_limit(*team, usage(job.spec.team) + job.need);
+  return job.team != nullptr && sched::within_limit(*job.team, *job.team_usage + job.need);
 }
 
 }  // namespace elmstall::engine
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -1,6 +1,7 @@
 // What the leader knows of jobs, tasks and machines.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <limits>
@@ -9,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "engine/committer.hpp"
@@ -74,6 +76,9 @@
 struct Job {
   std::string id;
   std::uint64_t serial = 0;
+  const config::Team* team = nullptr;
+  const sched::Amount* team_usage = nullptr;
+  std::uint32_t image = 0;  ///< number that stands for its image's name
   wire::JobSpec spec;
   sched::Amount need;
   bool cancelled = false;
@@ -83,6 +88,8 @@
   std::uint32_t block_count = 0;
   std::uint32_t finished_tasks = 0;
   std::uint32_t on_hosts = 0;  ///< tasks that are or may be on machines
+  bool begun = false;          ///< one of its tasks was assigned once
+  double searched_at = kNever; ///< when room was last looked for by stopping others
   std::map<std::string, std::uint32_t> per_zone;
   std::set<std::string> failed_on;
   std::string zone_choice;  ///< for `together`
@@ -93,6 +100,12 @@
   [[nodiscard]] bool all_done() const { return finished_tasks == spec.tasks; }
 };
 
+/// Never by address, as for tasks.
+struct JobOrder {
+  bool operator()(const Job* a, const Job* b) const { return a->serial < b->serial; }
+};
+using JobSet = std::set<Job*, JobOrder>;
+
 /// An exited task as the last report has it, until it is cleared.
 struct Exited {
   std::string job;
@@ -109,9 +122,22 @@
   sched::Amount capacity;
   std::uint64_t session = 0;
   std::uint64_t tick = 0;
-  /// A report that carried this term's token was received: what it lists is
-  /// exact, what it does not list is not there.
+  /// A report that carried the token of its latest fence was received: what it
+  /// lists is exact, what it does not list is not there.
   bool synced = false;
+  /// Was so once in this term: its session is known, and a later one ends all
+  /// that was ordered in this.
+  bool grounded = false;
+  /// Raised whenever orders may be under way that nobody can tell of; makes
+  /// them void as soon as the machine has seen it.
+  std::uint32_t fence = 0;
+  bool exchanging = false;    ///< direct orders are in flight
+  double exchanged_at = kNever;  ///< when the last answer to some came
+  bool answered_orders = false;  ///< the last answer carried orders that the next report will show
+  double direct_after = kNever;  ///< no direct orders before
+  /// Since when it has shown no effect of what it was told.
+  double unheeded_since = kNever;
+  bool deaf = false;
   bool heard = false;  ///< any report in this term
   double last_report = kNever;
   double last_answer = kNever;  ///< when a report was last answered with 200
@@ -129,11 +155,11 @@
   bool foreign = false;    ///< reports tasks unknown to us
   std::vector<Exited> exited;
   std::vector<std::pair<Exited, bool>> stray;  ///< tasks to stop (false) there
-  std::deque<std::string> images;  ///< believed to be cached, latest last
+  std::deque<std::uint32_t> images;  ///< believed to be cached, latest last
+  bool touched = false;              ///< the planner has to look at it again
   std::set<std::string> failed_jobs;
   bool quarantined = false;
   bool releasing = false;
-  double release_tried = kNever;
   bool listed = false;     ///< in the last whole machine list
   bool listed_failed = false;
   double idle_since = kNever;
@@ -141,11 +167,17 @@
   Committer::Record* record = nullptr;
   [[nodiscard]] bool recorded() const { return record != nullptr && record->revision != 0; }
   [[nodiscard]] sched::Amount room() const { return capacity - used - strangers; }
+  [[nodiscard]] bool caches(std::uint32_t image) const { return std::find(images.begin(), images.end(), image) != images.end(); }
   /// Seconds since anybody heard of it. The end of a caretaker's time counts:
   /// the machine needs a moment to find its leader again.
   [[nodiscard]] double quiet(double now) const { return cared ? 0 : now - std::max(last_report, cared_at); }
 };
 
+struct HostOrder {
+  bool operator()(const Host* a, const Host* b) const { return a->id < b->id; }
+};
+using HostSet = std::set<Host*, HostOrder>;
+
 /// Jobs, machines and what they take, with every change of a task's place in
 /// one spot, so that usage, zones and records always agree with it.
 class Model {
@@ -186,6 +218,24 @@
   [[nodiscard]] std::map<std::string, std::unique_ptr<Host>>& hosts() { return hosts_; }
   [[nodiscard]] const std::vector<wire::Flavor>& flavors() const { return flavors_; }
 
+  // What has changed, so that nobody has to walk through everything.
+  /// Jobs that may have tasks which wait and stand in no list.
+  [[nodiscard]] JobSet& open() { return open_; }
+  /// Jobs of which a task has ended or gone.
+  [[nodiscard]] JobSet& ending() { return ending_; }
+  /// Machines that may have orders to be given.
+  [[nodiscard]] HostSet& attention() { return attention_; }
+  [[nodiscard]] const TaskSet& planned() const { return planned_; }
+  /// Machines whose room, tasks or state have changed, in order.
+  [[nodiscard]] std::vector<Host*> take_touched();
+  void note(Host& host);
+  /// Least that any task takes, in each dimension: a machine with less room
+  /// than this has none.
+  [[nodiscard]] const sched::Amount& least_need() const { return least_need_; }
+  void refresh_least_need();
+  /// Tasks of this priority that are or may be on machines.
+  [[nodiscard]] std::size_t on_hosts(wire::Priority priority) const { return on_hosts_[static_cast<std::size_t>(priority)]; }
+
   /// Rules of placement, given everything that may be on machines now.
   [[nodiscard]] bool allowed(const Job& job, const Host& host) const;
   [[nodiscard]] bool within_quota(const Job& job) const;
@@ -194,6 +244,7 @@
   void attach(Task& task, Host& host);
   void detach(Task& task);
   void touch(Task& task);
+  void include_need(const Job& job);
   [[nodiscard]] static ledger::BlockRecord record_of(const Block& block);
 
   const config::Settings& settings_;
@@ -201,7 +252,15 @@
   std::vector<wire::Flavor> flavors_;
   std::uint64_t next_serial_ = 1;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
-  std::map<std::uint64_t, Job*> by_serial_;
+  std::unordered_map<std::uint64_t, Job*> by_serial_;
+  std::unordered_map<std::string, std::uint32_t> image_numbers_;
+  JobSet open_;
+  JobSet ending_;
+  TaskSet planned_;
+  HostSet touched_;
+  HostSet attention_;
+  sched::Amount least_need_;
+  std::size_t on_hosts_[4] = {};
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::map<std::string, sched::Amount> usage_;
   std::set<std::string> released_;
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -16,6 +16,7 @@
       runtime_(ports.runtime),
       store_(ports.store),
       cloud_(ports.cloud),
+      workers_(ports.workers),
       incarnation_(std::move(incarnation)),
       queue_(ports.runtime, [this] { after_batch(); }),
       scope_(queue_),
@@ -300,7 +301,7 @@
 }
 
 void Node::win() {
-  Leader::Context context{settings_, runtime_, queue_, store_, cloud_, mirror_, proof_, [this] { lose("the term is over"); }};
+  Leader::Context context{settings_, runtime_, queue_, store_, cloud_, workers_, mirror_, proof_, [this] { lose("the term is over"); }};
   leader_ = std::make_unique<Leader>(context, mirror_.term(), mirror_.term_stamp(), stood_at_);
   known_term_ = mirror_.term();
   known_leader_ = settings_.node;
@@ -313,7 +314,6 @@
 void Node::lose(const char* why) {
   if (!leader_) return;
   spdlog::info("no longer leading in term {}: {}", leader_->term(), why);
-  leader_->resign();
   leader_.reset();
   standing_ = false;
   if (known_leader_ == settings_.node) known_leader_.clear();
--- a/src/engine/node.hpp
+++ b/src/engine/node.hpp
@@ -16,6 +16,7 @@
     Runtime& runtime;
     ledger::Store& store;
     fleet::Cloud& cloud;
+    fleet::Workers& workers;
   };
 
   /// `incarnation`: differs from that of every earlier process of this node.
@@ -85,6 +86,7 @@
   Runtime& runtime_;
   ledger::Store& store_;
   fleet::Cloud& cloud_;
+  fleet::Workers& workers_;
   mesh::Mesh* mesh_ = nullptr;
   std::string incarnation_;
   CommandQueue queue_;
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -14,6 +14,7 @@
   if (task.phase != Phase::assigned || task.stopping) return;
   if (!task.offered) return model.release(task);  // it never left us
   task.stopping = true;
+  model.attention().insert(task.host);
   const auto& spec = task.job->spec;
   const bool worth = save && spec.checkpoint_every_s > 0 && task.state == TaskState::running;
   task.wind_down_s = worth ? spec.save_s : 0;
@@ -28,7 +29,7 @@
 }
 
 bool Planner::usable(const Host& host, double now, const config::Settings& settings) {
-  return host.synced && host.recorded() && !host.releasing && !host.quarantined && !host.recall_at && !host.foreign &&
+  return host.synced && !host.deaf && host.recorded() && !host.releasing && !host.quarantined && !host.recall_at && !host.foreign &&
          now - host.last_report < settings.silent_after_s();
 }
 
@@ -51,8 +52,7 @@
 }
 
 bool Planner::guaranteed(const Job& job) const {
-  const auto* team = settings_.team(job.spec.team);
-  return team != nullptr && sched::within_guarantee(*team, model_.usage(job.spec.team) + job.need);
+  return job.team != nullptr && sched::within_guarantee(*job.team, *job.team_usage + job.need);
 }
 
 int Planner::rank(const Job& job) const {
@@ -67,76 +67,100 @@
   }
 }
 
-void Planner::update_workers(double now) {
-  for (auto& [name, group] : groups_) {
-    std::vector<std::string> lost;
-    for (const auto& [worker, state] : group.workers()) {
-      const auto* host = model_.find_host(worker);
-      if (host == nullptr || !usable(*host, now, settings_)) lost.push_back(worker);
-    }
-    for (const auto& worker : lost) group.remove_worker(worker);
+void Planner::update_worker(Host& host, double now) {
+  ++steps_;
+  if (!usable(host, now, settings_)) {
+    roomy_.erase(&host);
+    if (const auto found = groups_.find(group_name(host)); found != groups_.end()) found->second.remove_worker(host.id);
+    return;
   }
-  for (const auto& [id, host] : model_.hosts()) {
-    if (!usable(*host, now, settings_)) continue;
-    std::size_t in_transit = 0;
-    for (const auto* task : host->tasks) {
-      if (task->phase == Phase::assigned && !task->seen) ++in_transit;
-    }
-    // Machines of a group are alike; the slots follow from the task at hand.
-    const auto room = host->room();
-    const double used_share = host->used.share_of(host->capacity);
-    const double per_task = host->tasks.empty() ? 0.5 : used_share / static_cast<double>(host->tasks.size());
-    const double slots = per_task > 0 ? std::floor(1.0 / per_task + 1e-6) : 1;
-    const bool has_room = room.cpus > 0 && used_share + per_task <= 1 + 1e-6;
-    groups_[group_name(*host)].set_worker(id, in_transit, slots, has_room);
+  const auto room = host.room();
+  if (model_.least_need().fits(room)) roomy_.insert(&host);
+  else roomy_.erase(&host);
+  const auto in_transit = static_cast<std::size_t>(std::count_if(host.tasks.begin(), host.tasks.end(), [](const Task* task) { return task->phase == Phase::assigned && !task->seen; }));
+  // Machines of a group are alike; the slots follow from the task at hand.
+  const double used_share = host.used.share_of(host.capacity);
+  const double per_task = host.tasks.empty() ? 0.5 : used_share / static_cast<double>(host.tasks.size());
+  const double slots = per_task > 0 ? std::floor(1.0 / per_task + 1e-6) : 1;
+  const bool has_room = room.cpus > 0 && used_share + per_task <= 1 + 1e-6;
+  groups_[group_name(host)].set_worker(host.id, in_transit, slots, has_room);
+}
+
+void Planner::update_workers(double now) {
+  // What changed is looked at in every round; what only time changes, like a
+  // machine's silence, once a second.
+  if (now >= next_review_) {
+    next_review_ = now + constants::kReviewEvery;
+    model_.refresh_least_need();
+    for (const auto& [id, host] : model_.hosts()) model_.note(*host);
+    const auto may = eligible();
+    for (auto& [name, group] : groups_) group.settle_inbox(may);
   }
-  const auto may = eligible();
-  for (auto& [name, group] : groups_) group.settle_inbox(may);
+  for (auto* host : model_.take_touched()) update_worker(*host, now);
+}
+
+void Planner::gone(Host& host) {
+  roomy_.erase(&host);
+  if (const auto found = groups_.find(group_name(host)); found != groups_.end()) found->second.remove_worker(host.id);
 }
 
-void Planner::refresh(sched::Queued& entry, const Job& job, double now) const {
-  entry.rank = rank(job);
-  entry.work_s = estimates_.run_time(job.spec.lane, job.spec.expect_s);
-  entry.tier = 0;
+Planner::Standing Planner::standing(const Job& job, double now) const {
+  Standing place{rank(job), 0, 0, estimates_.run_time(job.spec.lane, job.spec.expect_s)};
   const auto aim = aim_s(settings_, job);
-  entry.due = job.submitted + aim.value_or(constants::kNoAim);
-  if (!aim) return;
+  place.due = job.submitted + aim.value_or(constants::kNoAim);
+  const double waited = now - job.submitted;
+  if (!job.begun && waited > constants::kBeginWithin) {
+    // However large or late: nobody waits for ever behind what came later.
+    place.due = job.submitted - constants::kNoAim;
+    return place;
+  }
+  if (!aim) return place;
   // What can't be in time any more lets pass what still can, and has the
   // next half of its aim as its new one.
-  while (entry.tier < constants::kMaxTier && now + entry.work_s > entry.due) {
-    ++entry.tier;
-    entry.due += *aim * constants::kTierStep;
+  while (place.tier < constants::kMaxTier && now + place.work_s > place.due) {
+    ++place.tier;
+    place.due += *aim * constants::kTierStep;
   }
-  entry.due += settings_.tuning.small_first * entry.work_s * (job.spec.tasks - job.finished_tasks);
+  place.due += settings_.tuning.small_first * place.work_s * (job.spec.tasks - job.finished_tasks);
+  return place;
 }
 
 void Planner::reorder(double now) {
   if (now < next_reorder_) return;
   next_reorder_ = now + constants::kReorderEvery;
+  // All tasks of a job stand alike.
+  std::map<std::uint64_t, Standing> known;
+  const auto may = eligible();
   for (auto& [name, group] : groups_) {
+    if (group.queued() == 0) continue;
     group.reorder([&](sched::Queued& entry) {
-      if (const auto* job = model_.job_of(entry.id)) refresh(entry, *job, now);
+      const auto* job = model_.job_of(entry.id);
+      if (job == nullptr) return;
+      auto found = known.find(job->serial);
+      if (found == known.end()) found = known.emplace(job->serial, standing(*job, now)).first;
+      const auto& place = found->second;
+      entry = {entry.id, place.rank, place.tier, place.due, place.work_s};
     });
+    moves_ += group.balance(settings_.tuning.threshold_tasks, may);
   }
 }
 
 void Planner::enlist(Job& job, std::vector<Task*> tasks, double now) {
   if (tasks.empty()) return;
   std::vector<sched::Queued> block;
+  const auto place = standing(job, now);
   for (auto* task : tasks) {
     task->listed = true;
-    sched::Queued entry;
-    entry.id = task->id;
-    refresh(entry, job, now);
-    block.push_back(entry);
+    block.push_back({task->id, place.rank, place.tier, place.due, place.work_s});
   }
   // The block goes to the group with the lowest mean wait that may run it.
   sched::Group* best = nullptr;
   const auto may = eligible();
   for (auto& [name, group] : groups_) {
+    if (best != nullptr && group.mean() >= best->mean()) continue;
     const bool fits = std::any_of(group.workers().begin(), group.workers().end(),
                                   [&](const auto& worker) { return may(block.front().id, worker.first); });
-    if (fits && (best == nullptr || group.mean() < best->mean())) best = &group;
+    if (fits) best = &group;
   }
   if (best == nullptr) {
     // No machine may run it yet: it waits outside until one comes.
@@ -147,38 +171,42 @@
 }
 
 void Planner::queue_blocks(double now) {
-  for (auto& [id, job] : model_.jobs()) {
-    if (job->cancelled || direct(*job)) continue;
+  for (auto it = model_.open().begin(); it != model_.open().end();) {
+    auto* job = *it;
+    if (job->cancelled || job->all_done()) {
+      it = model_.open().erase(it);
+      continue;
+    }
+    if (direct(*job)) {
+      ++it;
+      continue;
+    }
     std::size_t waiting = 0;
-    for (const auto& [number, block] : job->blocks) {
+    bool left = false;
+    const auto list = [&](Block& block) {
       std::vector<Task*> fresh;
-      for (auto& task : block->tasks) {
+      for (auto& task : block.tasks) {
         if (task.phase != Phase::pending) continue;
         ++waiting;
         if (!task.listed && task.not_before <= now) fresh.push_back(&task);
+        else left = left || !task.listed;
       }
-      enlist(*job, std::move(fresh), now);
-    }
+      enlist(*job, fresh, now);
+      left = left || std::any_of(fresh.begin(), fresh.end(), [](const Task* task) { return !task->listed; });
+    };
+    for (const auto& [number, block] : job->blocks) list(*block);
     // Blocks of a large job appear as they are needed.
     while (waiting < constants::kWindowTasks && job->next_block < job->block_count) {
       const auto number = job->next_block++;
-      if (job->blocks.contains(number)) continue;
-      auto& block = model_.load_block(*job, number, nullptr);
-      std::vector<Task*> fresh;
-      for (auto& task : block.tasks) fresh.push_back(&task);
-      waiting += fresh.size();
-      enlist(*job, std::move(fresh), now);
+      if (!job->blocks.contains(number)) list(model_.load_block(*job, number, nullptr));
     }
+    const bool whole = !left && job->next_block >= job->block_count;
+    it = whole ? model_.open().erase(it) : std::next(it);
   }
 }
 
 void Planner::settle_planned(double now) {
-  std::vector<Task*> planned;
-  for (const auto& [id, host] : model_.hosts()) {
-    for (auto* task : host->tasks) {
-      if (task->phase == Phase::planned) planned.push_back(task);
-    }
-  }
+  const auto planned = model_.planned();
   for (auto* task : planned) {
     auto& host = *task->host;
     if (!usable(host, now, settings_)) {
@@ -211,8 +239,7 @@
   // Guarantees go before priorities, here as there: were one work stopped for
   // its priority and the other for its guarantee, the two would displace each
   // other for ever.
-  const auto* team = settings_.team(other.spec.team);
-  const bool kept = team != nullptr && sched::within_guarantee(*team, model_.usage(other.spec.team));
+  const bool kept = other.team != nullptr && sched::within_guarantee(*other.team, *other.team_usage);
   const bool owed = guaranteed(job);
   if (kept != owed) return owed && (!higher || !other.service());
   return lower;
@@ -242,33 +269,59 @@
 double Planner::score(const Job& job, const Host& host) const {
   const auto* flavor = model_.flavor(host.type);
   const double rate = flavor == nullptr || flavor->fetch_gb_per_s <= 0 ? 1 : flavor->fetch_gb_per_s;
-  const bool cached = std::find(host.images.begin(), host.images.end(), job.spec.image) != host.images.end();
-  double points = cached ? 0 : -job.spec.image_gb / rate;
+  double points = host.caches(job.image) ? 0 : -job.spec.image_gb / rate;
   const auto found = job.per_zone.find(host.zone);
   points -= found == job.per_zone.end() ? 0 : 4.0 * found->second;  // spread, worth some seconds of fetching
   points += 2.0 * host.used.share_of(host.capacity);  // fill machines: empty ones can go
   return points;
 }
 
-std::optional<Planner::Candidate> Planner::best_host(const Job& job, double now, bool may_preempt) {
+Host* Planner::best_room(const Job& job) const {
+  Host* best = nullptr;
+  double best_score = 0;
+  for (auto* host : roomy_) {
+    if (!job.need.fits(host->room()) || !model_.allowed(job, *host)) continue;
+    const double points = score(job, *host);
+    if (best != nullptr && points <= best_score) continue;
+    best = host;
+    best_score = points;
+  }
+  return best;
+}
+
+std::optional<Planner::Candidate> Planner::best_displacing(const Job& job, double now) const {
   std::optional<Candidate> best;
   for (const auto& [id, host] : model_.hosts()) {
     if (!usable(*host, now, settings_) || !may_run(job, *host)) continue;
-    Candidate candidate{host.get(), score(job, *host), {}};
-    if (!job.need.fits(host->room())) {
-      if (!may_preempt) continue;
-      auto chosen = victims(job, *host, now);
-      if (!chosen) continue;
-      candidate.victims = std::move(*chosen);
-      // Room that is free already is worth more than room that must be made.
-      candidate.score -= 5;
-      for (const auto* task : candidate.victims) candidate.score -= lost_work(*task, now) * 0.2;
-    }
+    auto chosen = victims(job, *host, now);
+    if (!chosen) continue;
+    Candidate candidate{host.get(), score(job, *host), std::move(*chosen)};
+    for (const auto* task : candidate.victims) candidate.score -= lost_work(*task, now) * 0.2;
     if (!best || candidate.score > best->score) best = std::move(candidate);
   }
   return best;
 }
 
+bool Planner::anything_lesser(const Job& job) const {
+  for (int priority = 0; priority < static_cast<int>(job.spec.priority); ++priority) {
+    if (model_.on_hosts(static_cast<wire::Priority>(priority)) > 0) return true;
+  }
+  if (!guaranteed(job)) return false;
+  return std::any_of(settings_.teams.begin(), settings_.teams.end(), [&](const config::Team& team) {
+    return team.name != job.spec.team && !sched::within_guarantee(team, model_.usage(team.name));
+  });
+}
+
+std::optional<Planner::Candidate> Planner::displace(Job& job, double now) {
+  // A search walks through all machines: not often for one job, and few in
+  // one round.
+  if (now < job.searched_at + constants::kDisplaceEvery || searches_ >= constants::kDisplaceSearches || !anything_lesser(job)) return std::nullopt;
+  ++searches_;
+  auto place = best_displacing(job, now);
+  if (!place) job.searched_at = now;
+  return place;
+}
+
 void Planner::choose_zone(Job& job, double now) {
   if (!job.spec.together || !job.per_zone.empty() || job.spec.zone) return;
   std::map<std::string, double> free;
@@ -287,11 +340,31 @@
   if (best != free.end()) job.zone_choice = best->first;
 }
 
+bool Planner::place_service(Job& job, double now) {
+  bool left = false;
+  for (std::uint32_t number = 0; number < job.block_count; ++number) {
+    for (auto& task : model_.load_block(job, number, nullptr).tasks) {
+      if (task.phase != Phase::pending) continue;
+      left = true;
+      if (task.not_before > now) continue;
+      if (!model_.within_quota(job)) return true;
+      if (auto* host = best_room(job)) {
+        model_.assign(task, *host, now);
+        continue;
+      }
+      const auto place = displace(job, now);
+      if (!place) return true;
+      for (auto* victim : place->victims) stop_task(model_, *victim, true, now + constants::kPreemptPause);
+      model_.plan(task, *place->host);
+    }
+  }
+  return left;
+}
+
 void Planner::place_direct(double now) {
   std::vector<Job*> waiting;
-  for (auto& [id, job] : model_.jobs()) {
-    if (!direct(*job) || job->cancelled || job->failed_until > now || job->all_done()) continue;
-    waiting.push_back(job.get());
+  for (auto* job : model_.open()) {
+    if (direct(*job) && !job->cancelled && job->failed_until <= now && !job->all_done()) waiting.push_back(job);
   }
   std::stable_sort(waiting.begin(), waiting.end(), [this](const Job* a, const Job* b) {
     const int x = rank(*a);
@@ -300,27 +373,8 @@
   });
   for (auto* job : waiting) {
     choose_zone(*job, now);
-    if (job->gang()) {
-      place_gang(*job, now);
-      continue;
-    }
-    for (std::uint32_t number = 0; number < job->block_count; ++number) {
-      auto& block = model_.load_block(*job, number, nullptr);
-      bool stuck = false;
-      for (auto& task : block.tasks) {
-        if (task.phase != Phase::pending || task.not_before > now) continue;
-        if (!model_.within_quota(*job)) { stuck = true; break; }
-        auto place = best_host(*job, now, true);
-        if (!place) { stuck = true; break; }
-        if (place->victims.empty()) {
-          model_.assign(task, *place->host, now);
-          continue;
-        }
-        for (auto* victim : place->victims) stop_task(model_, *victim, true, now + constants::kPreemptPause);
-        model_.plan(task, *place->host);
-      }
-      if (stuck) break;
-    }
+    if (job->gang()) place_gang(*job, now);
+    else if (!place_service(*job, now)) model_.open().erase(job);
   }
 }
 
@@ -335,12 +389,12 @@
   std::vector<Task*> placed;
   for (auto* task : waiting) {
     const bool free = task->not_before <= now && model_.within_quota(job);
-    const auto place = free ? best_host(job, now, false) : std::nullopt;
-    if (!place) {
+    auto* host = free ? best_room(job) : nullptr;
+    if (host == nullptr) {
       for (auto* other : placed) model_.unplan(*other);
       return;
     }
-    model_.plan(*task, *place->host);
+    model_.plan(*task, *host);
     placed.push_back(task);
   }
   for (auto* task : placed) {
@@ -358,20 +412,13 @@
   auto found = groups_[own].next(host.id, may);
   // The host's own group has nothing for it: the longest list of the others.
   if (!found) {
-    std::vector<sched::Group*> others;
-    for (auto& [name, group] : groups_) {
+    std::vector<const sched::Group*> others;
+    for (const auto& [name, group] : groups_) {
       if (name != own && group.queued() > 0) others.push_back(&group);
     }
     std::stable_sort(others.begin(), others.end(), [](const auto* a, const auto* b) { return a->mean() > b->mean(); });
-    for (auto* group : others) {
-      for (const auto& [name, worker] : group->workers()) {
-        found = group->next(name, may);
-        if (found) break;
-      }
-      if (!found) {
-        const auto task = std::find_if(group->inbox().begin(), group->inbox().end(), [&](const auto& one) { return may(one.id); });
-        if (task != group->inbox().end()) found = *task;
-      }
+    for (const auto* group : others) {
+      found = group->lend(may);
       if (found) break;
     }
   }
@@ -384,53 +431,70 @@
 }
 
 void Planner::start_heads(double now) {
-  std::vector<Host*> hosts;
-  for (const auto& [id, host] : model_.hosts()) {
-    if (usable(*host, now, settings_)) hosts.push_back(host.get());
-  }
+  const bool queued = std::any_of(groups_.begin(), groups_.end(), [](const auto& entry) { return entry.second.queued() > 0; });
+  if (!queued) return;
+  std::vector<Host*> hosts(roomy_.begin(), roomy_.end());
   // Spot machines first: ordinary room is what services need.
   std::stable_sort(hosts.begin(), hosts.end(), [](const Host* a, const Host* b) {
     if (a->spot != b->spot) return a->spot;
     return a->tasks.size() > b->tasks.size();
   });
+  Misses misses;
   for (auto* host : hosts) {
-    while (start_on(*host, now)) {
+    ++steps_;
+    auto& missed = misses[{group_name(*host), host->spot}];
+    const auto hopeless = [&](const Host& one) {
+      return std::any_of(missed.begin(), missed.end(), [&](const sched::Amount& room) { return one.room().fits(room); });
+    };
+    while (!hopeless(*host)) {
+      if (start_on(*host, now)) continue;
+      missed.push_back(host->room());
+      break;
     }
   }
 }
 
 void Planner::relieve_guarantees(double now) {
   // Guaranteed or higher-priority tasks that still wait may displace others.
-  for (auto& [name, group] : groups_) {
-    std::vector<sched::Queued> heads = group.inbox();
-    for (const auto& [worker, state] : group.workers()) heads.insert(heads.end(), state.list.begin(), state.list.end());
-    std::sort(heads.begin(), heads.end(), [](const auto& a, const auto& b) { return a.before(b); });
-    for (const auto& head : heads) {
-      auto* task = model_.task(head.id);
-      if (task == nullptr || task->phase != Phase::pending || task->not_before > now || task->job->failed_until > now) continue;
-      auto& job = *task->job;
-      if (!guaranteed(job) && job.spec.priority == wire::Priority::idle) continue;
-      if (!model_.within_quota(job)) continue;
-      auto place = best_host(job, now, true);
-      if (!place || place->victims.empty()) continue;
-      forget(*task);
-      task->listed = false;
-      for (auto* victim : place->victims) stop_task(model_, *victim, true, now + constants::kPreemptPause);
-      model_.plan(*task, *place->host);
-    }
+  std::map<std::uint64_t, sched::Queued> heads;  // the first of each job
+  for (const auto& [name, group] : groups_) {
+    group.each([&](const sched::Queued& entry) {
+      const auto* job = model_.job_of(entry.id);
+      if (job == nullptr || now < job->searched_at + constants::kDisplaceEvery || !anything_lesser(*job)) return;
+      const auto found = heads.try_emplace(job->serial, entry);
+      if (entry.before(found.first->second)) found.first->second = entry;
+    });
+  }
+  std::vector<sched::Queued> order;
+  for (const auto& [serial, head] : heads) order.push_back(head);
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.before(b); });
+  for (const auto& head : order) {
+    if (searches_ >= constants::kDisplaceSearches) return;
+    auto* task = model_.task(head.id);
+    if (task == nullptr || task->phase != Phase::pending || task->not_before > now || task->job->failed_until > now) continue;
+    auto& job = *task->job;
+    if (!guaranteed(job) && job.spec.priority == wire::Priority::idle) continue;
+    if (!model_.within_quota(job)) continue;
+    const auto place = displace(job, now);
+    if (!place) continue;
+    forget(*task);
+    task->listed = false;
+    for (auto* victim : place->victims) stop_task(model_, *victim, true, now + constants::kPreemptPause);
+    model_.plan(*task, *place->host);
   }
 }
 
 void Planner::decide(double now) {
+  searches_ = 0;
   update_workers(now);
   settle_planned(now);
   place_direct(now);
   queue_blocks(now);
   reorder(now);
-  const auto may = eligible();
-  for (auto& [name, group] : groups_) moves_ += group.balance(settings_.tuning.threshold_tasks, may);
   start_heads(now);
   relieve_guarantees(now);
+  // What was decided changes rooms and lists at once.
+  update_workers(now);
 }
 
 }  // namespace elmstall::engine
--- a/src/engine/planner.hpp
+++ b/src/engine/planner.hpp
@@ -14,10 +14,14 @@
 
   void decide(double now);
   void forget(const Task& task);
+  /// The machine is about to be forgotten.
+  void gone(Host& host);
   [[nodiscard]] static bool usable(const Host& host, double now, const config::Settings& settings);
   [[nodiscard]] const std::map<std::string, sched::Group>& groups() const { return groups_; }
   /// Moves made by equation (1) so far.
   [[nodiscard]] std::size_t moves() const { return moves_; }
+  /// Machines looked at so far: what a decision costs, for tests and metrics.
+  [[nodiscard]] std::size_t steps() const { return steps_; }
 
  private:
   struct Candidate {
@@ -26,13 +30,25 @@
     std::vector<Task*> victims;
   };
 
+  /// What is listed of a job stands in the lists like this.
+  struct Standing {
+    int rank = 0;
+    int tier = 0;
+    double due = 0;
+    double work_s = 0;
+  };
+  /// The largest room for which no startable task was found in this round.
+  using Misses = std::map<std::pair<std::string, bool>, std::vector<sched::Amount>>;
+
+  void update_worker(Host& host, double now);
   void update_workers(double now);
   void queue_blocks(double now);
   void enlist(Job& job, std::vector<Task*> tasks, double now);
-  void refresh(sched::Queued& entry, const Job& job, double now) const;
+  [[nodiscard]] Standing standing(const Job& job, double now) const;
   void reorder(double now);
   void settle_planned(double now);
   void place_direct(double now);
+  bool place_service(Job& job, double now);
   void place_gang(Job& job, double now);
   void start_heads(double now);
   bool start_on(Host& host, double now);
@@ -41,14 +57,20 @@
   [[nodiscard]] bool direct(const Job& job) const { return job.service() || job.gang() || job.spec.together; }
   [[nodiscard]] bool startable(const Task& task, const Host& host, double now) const;
   [[nodiscard]] bool may_run(const Job& job, const Host& host) const;
-  [[nodiscard]] std::optional<Candidate> best_host(const Job& job, double now, bool may_preempt);
+  /// The best machine with room for the job's next task.
+  [[nodiscard]] Host* best_room(const Job& job) const;
+  /// The best one where room can be made by stopping lesser work.
+  [[nodiscard]] std::optional<Candidate> best_displacing(const Job& job, double now) const;
+  /// As above, unless that was tried a moment ago or can't succeed.
+  [[nodiscard]] std::optional<Candidate> displace(Job& job, double now);
+  [[nodiscard]] bool anything_lesser(const Job& job) const;
   [[nodiscard]] std::optional<std::vector<Task*>> victims(const Job& job, const Host& host, double now) const;
   [[nodiscard]] bool may_stop(const Job& job, const Task& victim) const;
   [[nodiscard]] double lost_work(const Task& victim, double now) const;
   [[nodiscard]] double score(const Job& job, const Host& host) const;
   [[nodiscard]] int rank(const Job& job) const;
   [[nodiscard]] bool guaranteed(const Job& job) const;
-  [[nodiscard]] std::string group_name(const Host& host) const { return host.type + "/" + host.zone; }
+  [[nodiscard]] static std::string group_name(const Host& host) { return host.type + "/" + host.zone; }
   void choose_zone(Job& job, double now);
   [[nodiscard]] sched::Eligible eligible();
 
@@ -56,8 +78,12 @@
   Model& model_;
   Estimates& estimates_;
   std::map<std::string, sched::Group> groups_;
+  HostSet roomy_;  ///< usable, with room for the smallest task
   std::size_t moves_ = 0;
+  std::size_t steps_ = 0;
+  int searches_ = 0;  ///< for displacements, in this round
   double next_reorder_ = kNever;
+  double next_review_ = kNever;
 };
 
 /// Seconds from submission within which the job should be complete, if anybody
--- a/src/sched/resources.hpp
+++ b/src/sched/resources.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <string>
 
@@ -43,6 +44,16 @@
          (team.gpus_max <= 0 || used.gpus <= team.gpus_max + Amount::kSlack);
 }
 
+/// How many of `most` tasks fit into the team's limit beside `used`.
+[[nodiscard]] inline double within_limit_count(const config::Team& team, const Amount& used, const Amount& need, double most) {
+  const auto part = [&most](double limit, double taken, double each) {
+    if (limit > 0 && each > 0) most = std::min(most, std::max(0.0, std::floor((limit - taken + Amount::kSlack) / each)));
+  };
+  part(team.cpus_max, used.cpus, need.cpus);
+  part(team.gpus_max, used.gpus, need.gpus);
+  return most;
+}
+
 /// True if the team has a guarantee and `used` lies within it. A guarantee of
 /// 0 in one dimension means none there; with none at all nothing is guaranteed.
 [[nodiscard]] inline bool within_guarantee(const config::Team& team, const Amount& used) {
--- a/src/wire/types.cpp
+++ b/src/wire/types.cpp
@@ -245,10 +245,18 @@
   return packer.take();
 }
 
+std::string encode_direct_orders(std::uint64_t token, std::uint64_t session, const std::vector<Order>& orders) {
+  Packer packer;
+  packer.map(3).key("baton").integer(token).key("shift").integer(session);
+  pack_orders(packer, orders);
+  return packer.take();
+}
+
 Orders decode_orders(const Object& object) {
   const Fields fields(object);
   Orders result;
   result.token = fields.integer_or("baton", 0);
+  result.session = fields.integer_or("shift", 0);
   const auto [first, last] = elements(fields.find("orders"), "orders");
   for (const auto* item = first; item != last; ++item) {
     const Fields one(*item);
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -94,9 +94,12 @@
   double wind_down_s = 0;
 };
 [[nodiscard]] std::string encode_orders(std::uint64_t token, const std::vector<Order>& orders);
+/// A command sent straight to a worker; void unless its session is this one.
+[[nodiscard]] std::string encode_direct_orders(std::uint64_t token, std::uint64_t session, const std::vector<Order>& orders);
 /// What a worker reads from the answer to its report.
 struct Orders {
   std::uint64_t token = 0;
+  std::uint64_t session = 0;  ///< of direct orders
   std::vector<Order> orders;
 };
 [[nodiscard]] Orders decode_orders(const Object& object);
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -49,16 +49,33 @@
   tasks_.clear();
 }
 
+wire::Report FakeWorker::compose() {
+  wire::Report report{id_, id_, type_, zone_, spot_, session_, ++tick_, token_, std::nullopt, {}};
+  for (const auto& [name, task] : tasks_) report.tasks.push_back({name.first, name.second, task.attempt, task.state, task.cause, task.saved});
+  return report;
+}
+
+fleet::OrdersResult FakeWorker::direct(std::uint64_t token, std::uint64_t session, const std::vector<wire::Order>& orders) {
+  using Outcome = fleet::OrdersResult::Outcome;
+  if (token < token_) return {Outcome::refused, compose()};
+  const bool learned = token > token_;
+  token_ = token;
+  if (session != session_) return {Outcome::refused, compose()};
+  for (const auto& order : orders) execute(order);
+  if (learned || !orders.empty()) changed();
+  return {Outcome::done, compose()};
+}
+
 void FakeWorker::report() {
   const double sent = world_.loop.now();
-  wire::Report report{id_, "", type_, zone_, spot_, session_, ++tick_, token_, std::nullopt, {}};
-  for (const auto& [name, task] : tasks_) report.tasks.push_back({name.first, name.second, task.attempt, task.state, task.cause, task.saved});
+  const auto report = compose();
   in_flight_ = true;
+  sent_session_ = session_;
   last_report_ = sent;
   const auto node = node_;
-  const auto tick = tick_;
+  const auto tick = sent_tick_ = tick_;
   world_.loop.after(4.0, [this, tick, node] {
-    if (dead_ || !in_flight_ || tick != tick_) return;
+    if (dead_ || !in_flight_ || tick != sent_tick_) return;
     in_flight_ = false;
     node_ = (node + 1) % world_.node_count();
     next_report(1.0);
@@ -72,17 +89,20 @@
     }
     return;
   }
+  if (world_.random() < copies) {
+    world_.loop.after(2 + 40 * world_.random(), [this, node, request] { world_.send_to_node(node, request, [](const net::Response&) {}); });
+  }
   const double delay = 0.001 + 0.003 * world_.random();
   world_.loop.after(delay, [this, tick, sent, node, request] {
     world_.send_to_node(node, request, [this, tick, sent, node](const net::Response& response) {
-      if (cut || !world_.reachable(node, zone_) || world_.random() < world_.loss) return;
+      if (cut || deaf || !world_.reachable(node, zone_) || world_.random() < world_.loss) return;
       world_.loop.after(0.002, [this, tick, sent, node, response] { answered(tick, sent, node, response); });
     });
   });
 }
 
 void FakeWorker::answered(std::uint64_t tick, double sent, std::size_t node, const net::Response& response) {
-  if (dead_ || !in_flight_ || tick != tick_) return;
+  if (dead_ || !in_flight_ || tick != sent_tick_) return;
   in_flight_ = false;
   if (response.status == 421) {
     const auto document = wire::Document::parse(response.body);
@@ -99,7 +119,7 @@
   next_report(world_.settings.report_s * (0.75 + 0.5 * world_.random()));
   const auto document = wire::Document::parse(response.body);
   const auto orders = wire::decode_orders(document.root());
-  if (orders.token < token_) return;
+  if (orders.token < token_ || sent_session_ != session_) return;
   const bool learned = orders.token > token_;
   token_ = orders.token;
   lease_from_ = sent;
@@ -178,6 +198,32 @@
   changed();
 }
 
+void FakeWorkers::order(const std::string& addr, std::uint64_t token, std::uint64_t session, const std::vector<wire::Order>& orders,
+                        std::function<void(fleet::OrdersResult)> done) {
+  using Outcome = fleet::OrdersResult::Outcome;
+  const auto give_up = [this, done](Outcome outcome) { world_.loop.after(2.0, [done, outcome] { done({outcome, std::nullopt}); }); };
+  const auto found = world_.workers.find(addr);
+  if (found == world_.workers.end() || world_.no_direct) return give_up(Outcome::never);
+  auto* worker = found->second.get();
+  const auto carry_out = [worker, token, session, orders]() -> std::optional<fleet::OrdersResult> {
+    if (worker->dead()) return std::nullopt;
+    return worker->direct(token, session, orders);
+  };
+  const bool lost = worker->cut || worker->deaf || world_.workers_cut(node_) || !world_.reachable(node_, worker->zone()) || world_.random() < world_.loss;
+  if (lost) {
+    if (world_.random() < 0.4) return give_up(Outcome::never);
+    // Held on the way, and executed whenever the way is free again.
+    if (world_.random() < 0.7) world_.loop.after(1 + 60 * world_.random(), [carry_out] { (void)carry_out(); });
+    return give_up(Outcome::unknown);
+  }
+  world_.loop.after(0.002, [this, carry_out, done, give_up] {
+    auto result = carry_out();
+    if (!result) return give_up(Outcome::never);
+    if (world_.random() < world_.loss) return give_up(Outcome::unknown);
+    world_.loop.after(0.002, [done, result = std::move(*result)] { done(result); });
+  });
+}
+
 // --- cloud -----------------------------------------------------------------------
 
 void FakeCloud::flavors(std::function<void(std::optional<std::vector<wire::Flavor>>)> done) {
@@ -307,8 +353,9 @@
   if (process.store) old_stores_.push_back(std::move(process.store));
   process.store = std::make_unique<FakeStore>(loop, state, seed + 1);
   process.store->road = road;
+  if (!process.workers) process.workers = std::make_unique<FakeWorkers>(*this, index);
   process.mesh = std::make_unique<Mesh>(*this, index);
-  process.node = std::make_unique<engine::Node>(process.settings, engine::Node::Ports{*process.runtime, *process.store, cloud},
+  process.node = std::make_unique<engine::Node>(process.settings, engine::Node::Ports{*process.runtime, *process.store, cloud, *process.workers},
                                                 process.settings.node + "." + std::to_string(++process.incarnation));
   process.node->start(*process.mesh);
 }
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -24,7 +24,11 @@
   [[nodiscard]] const std::string& type() const { return type_; }
   [[nodiscard]] const std::string& zone() const { return zone_; }
   [[nodiscard]] bool spot() const { return spot_; }
+  /// Straight to this worker, whenever it arrives.
+  fleet::OrdersResult direct(std::uint64_t token, std::uint64_t session, const std::vector<wire::Order>& orders);
   bool cut = false;  ///< from every node
+  bool deaf = false; ///< its reports arrive, but neither answers nor commands reach it
+  double copies = 0; ///< share of its reports of which a copy comes late
   std::optional<double> recall_at;
   double fail_share = 0;  ///< of its tasks, for a faulty machine
 
@@ -38,6 +42,7 @@
   };
   using Name = std::pair<std::string, std::uint32_t>;
 
+  [[nodiscard]] wire::Report compose();
   void report();
   void answered(std::uint64_t tick, double sent, std::size_t node, const net::Response& response);
   void execute(const wire::Order& order);
@@ -54,6 +59,7 @@
   bool spot_ = false;
   bool dead_ = false;
   std::uint64_t session_ = 1, tick_ = 0, token_ = 0, serial_ = 0, round_ = 0;
+  std::uint64_t sent_tick_ = 0, sent_session_ = 0;  ///< of the report in flight
   double lease_from_ = 0;
   double last_report_ = -10;
   bool in_flight_ = false;
@@ -61,6 +67,18 @@
   std::map<Name, Task> tasks_;
 };
 
+/// One node's way to the workers' own addresses.
+class FakeWorkers : public fleet::Workers {
+ public:
+  FakeWorkers(World& world, std::size_t node) : world_(world), node_(node) {}
+  void order(const std::string& addr, std::uint64_t token, std::uint64_t session, const std::vector<wire::Order>& orders,
+             std::function<void(fleet::OrdersResult)> done) override;
+
+ private:
+  World& world_;
+  std::size_t node_;
+};
+
 /// Rents machines; its list lags.
 class FakeCloud : public fleet::Cloud {
  public:
@@ -100,6 +118,10 @@
   void poll(const std::string& id);
   [[nodiscard]] std::optional<wire::JobState> last_told(const std::string& id) const;
 
+  [[nodiscard]] bool workers_cut(std::size_t node) const {
+    const auto found = worker_cut_.find(node);
+    return found != worker_cut_.end() && found->second;
+  }
   [[nodiscard]] bool reachable(std::size_t node, const std::string& zone) const;
   void send_to_node(std::size_t node, net::Request request, net::Responder respond);
   [[nodiscard]] const wire::JobSpec* spec(const std::string& id) const;
@@ -121,6 +143,7 @@
   /// Instead of nodes of its own: the world's workers report through this.
   std::function<void(std::size_t node, net::Request, net::Responder)> carry;
   std::size_t outside_nodes = 0;
+  bool no_direct = false;  ///< orders sent straight to workers get nowhere
   double loss = 0;  ///< share of workers' and users' messages lost
 
  private:
@@ -129,6 +152,7 @@
     config::Settings settings;
     std::unique_ptr<VirtualRuntime> runtime;
     std::unique_ptr<FakeStore> store;
+    std::unique_ptr<FakeWorkers> workers;
     std::unique_ptr<Mesh> mesh;
     std::unique_ptr<engine::Node> node;
     std::uint64_t incarnation = 0;
