--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -221,7 +221,10 @@
 /// up; boots usually take up to 1.5 times that.
 inline constexpr double kBootGiveUp = 3.0;
 /// Seconds. Interval of fleet decisions and of reading the machine list.
-inline constexpr double kFleetEvery = 2.0;
+inline constexpr double kFleetEvery = 1.0;
+/// Share of the cloud's rate that rentals may take; lists and deletions need
+/// the rest.
+inline constexpr double kRentShare = 0.6;
 inline constexpr double kListEvery = 5.0;
 /// Seconds. Deletions are gathered for this long: each request counts against
 /// the cloud's rate, and takes up to a hundred names.
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -150,8 +150,8 @@
       sched::Pool pool{flavor.name, zone, spot, spot ? flavor.spot_price : flavor.price, 0, 0, false};
       const auto state = pools_.find({flavor.name, zone, spot});
       if (state != pools_.end()) {
-        pool.blocked = state->second.pending || state->second.blocked_until > now;
-        if (state->second.pending) pool.booting += state->second.count;
+        pool.blocked = state->second.blocked_until > now;
+        pool.booting += state->second.pending;
       }
       pools.push_back(std::move(pool));
     }
@@ -226,13 +226,14 @@
   // Machines a former leader rented a moment ago show up in the late list
   // only after a while; renting before would buy them twice.
   const double wait = term_ <= 1 ? 0 : 2 * settings_.list_lag_s;
+  allowance_ = settings_.cloud_rps * k::kRentShare * k::kFleetEvery;
   if (!ever_listed_ || now < started_ + wait) return;
   for (const auto& flavor : model_.flavors()) {
     const auto pools = pools_of(flavor, now);
     const auto demand = demand_of(flavor, now);
     for (const auto& rental : sched::plan_rentals(pools, demand)) {
       const auto& pool = pools[rental.pool];
-      rent({pool.type, pool.zone, pool.spot}, std::min(rental.count, k::kMaxRentCount));
+      rent({pool.type, pool.zone, pool.spot}, rental.count);
     }
     return_idle(flavor, pools, demand, now);
   }
@@ -256,44 +257,48 @@
 }
 
 void FleetKeeper::rent(const PoolKey& key, int count) {
-  auto& pool = pools_[key];
-  if (pool.pending || count <= 0) return;
-  pool.pending = true;
-  pool.count = count;
-  // Term and counter: never used before, by no node.
-  pool.name = "r-" + std::to_string(term_) + "-" + std::to_string(next_request_++);
-  send_rent(key);
+  // A fleet that has far to grow is asked for in many requests at once: what
+  // is not rented now boots later.
+  for (; count > 0 && allowance_ >= 1; count -= k::kMaxRentCount, allowance_ -= 1) {
+    // Term and counter: never used before, by no node.
+    const Request request{key, "r-" + std::to_string(term_) + "-" + std::to_string(next_request_++), std::min(count, k::kMaxRentCount)};
+    pools_[key].pending += request.count;
+    send_rent(request);
+  }
 }
 
-void FleetKeeper::send_rent(const PoolKey& key) {
-  auto& pool = pools_[key];
-  const auto& [type, zone, spot] = key;
-  spdlog::info("renting {} x {} in {}{} as {}", pool.count, type, zone, spot ? " (spot)" : "", pool.name);
-  cloud_.rent(pool.name, type, zone, spot, pool.count, scope_.wrap([this, key](const fleet::RentResult& result) {
-    using Outcome = fleet::RentResult::Outcome;
-    auto& state = pools_[key];
-    const double now = runtime_.now();
-    if (result.outcome == Outcome::unknown || result.outcome == Outcome::unavailable) {
-      // The same name again: if it was carried out, it is answered the same.
-      runtime_.after(k::kFleetEvery, scope_.wrap([this, key] { send_rent(key); }));
-      return;
-    }
-    state.pending = false;
-    if (result.outcome == Outcome::ok && !result.hosts.empty()) {
-      for (const auto& id : result.hosts) {
-        auto& host = model_.host(id);
-        if (host.type.empty()) model_.describe(host, std::get<0>(key), std::get<1>(key), std::get<2>(key), "");
-        if (host.rented_at == kNever) host.rented_at = now;
-      }
-    }
-    if (result.outcome == Outcome::ok && result.hosts.size() == static_cast<std::size_t>(state.count)) {
-      state.pause = k::kNoCapacityPause;
-      return;
+void FleetKeeper::send_rent(const Request& request) {
+  const auto& [type, zone, spot] = request.pool;
+  spdlog::info("renting {} x {} in {}{} as {}", request.count, type, zone, spot ? " (spot)" : "", request.name);
+  cloud_.rent(request.name, type, zone, spot, request.count, scope_.wrap([this, request](const fleet::RentResult& result) { on_rented(request, result); }));
+}
+
+void FleetKeeper::on_rented(const Request& request, const fleet::RentResult& result) {
+  using Outcome = fleet::RentResult::Outcome;
+  if (result.outcome == Outcome::unknown || result.outcome == Outcome::unavailable) {
+    // The same name again: if it was carried out, it is answered the same.
+    runtime_.after(k::kFleetEvery, scope_.wrap([this, request] { send_rent(request); }));
+    return;
+  }
+  auto& pool = pools_[request.pool];
+  const auto& [type, zone, spot] = request.pool;
+  const double now = runtime_.now();
+  pool.pending -= request.count;
+  if (result.outcome == Outcome::ok) {
+    for (const auto& id : result.hosts) {
+      auto& host = model_.host(id);
+      if (host.type.empty()) model_.describe(host, type, zone, spot, "");
+      if (host.rented_at == kNever) host.rented_at = now;
     }
-    state.blocked_until = now + state.pause;
-    state.pause = std::min(state.pause * 2, k::kNoCapacityPauseMax);
-    spdlog::info("no capacity for {} in {}", std::get<0>(key), std::get<1>(key));
-  }));
+  }
+  if (result.outcome == Outcome::ok && result.hosts.size() == static_cast<std::size_t>(request.count)) {
+    pool.pause = k::kNoCapacityPause;
+    return;
+  }
+  if (pool.blocked_until > now) return;  // several requests met the same end
+  pool.blocked_until = now + pool.pause;
+  pool.pause = std::min(pool.pause * 2, k::kNoCapacityPauseMax);
+  spdlog::info("no capacity for {} in {}{}", type, zone, spot ? " (spot)" : "");
 }
 
 }  // namespace elmstall::engine
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -21,13 +21,17 @@
 
  private:
   struct PoolState {
-    bool pending = false;  ///< a request is under way or must be repeated
-    std::string name;      ///< of that request
-    int count = 0;
+    int pending = 0;  ///< machines asked for, without an answer yet
     double blocked_until = kNever;
     double pause = constants::kNoCapacityPause;
   };
   using PoolKey = std::tuple<std::string, std::string, bool>;
+  /// A rental under way, or one that must be repeated.
+  struct Request {
+    PoolKey pool;
+    std::string name;
+    int count = 0;
+  };
 
   void send_releases();
   void read_list(const std::string& since);
@@ -36,7 +40,8 @@
   void plan(double now);
   void return_idle(const wire::Flavor& flavor, const std::vector<sched::Pool>& pools, const sched::Demand& demand, double now);
   void rent(const PoolKey& key, int count);
-  void send_rent(const PoolKey& key);
+  void send_rent(const Request& request);
+  void on_rented(const Request& request, const fleet::RentResult& result);
   [[nodiscard]] std::vector<sched::Pool> pools_of(const wire::Flavor& flavor, double now) const;
   [[nodiscard]] sched::Demand demand_of(const wire::Flavor& flavor, double now);
   /// Its aim leaves no time to boot a machine for it.
@@ -57,6 +62,7 @@
   std::uint64_t next_request_ = 1;
   double started_ = 0;
   double next_plan_ = kNever;
+  double allowance_ = 0;  ///< requests that may be sent now
   double next_list_ = kNever;
   bool releasing_ = false;  ///< a request is under way
   double next_release_ = kNever;
