Tasks start where their image is cached

Cause: at 0.4 GB/s an image of 7 GB takes 17 s, two at once 35 s, of a task's median 70 s. Where a machine with room holds the image, the task now starts there, whosever list it stands in.

--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -423,13 +423,46 @@
     }
   }
   if (!found) return false;
-  auto* task = model_.task(found->id);
-  forget(*task);
-  task->listed = false;
-  model_.assign(*task, host, now);
+  take(*model_.task(found->id), host, now);
   return true;
 }
 
+void Planner::take(Task& task, Host& host, double now) {
+  forget(task);
+  task.listed = false;
+  model_.assign(task, host, now);
+}
+
+void Planner::start_cached(double now) {
+  // Fetching an image takes as long as a good part of a task: where a machine
+  // with room holds it already, the task starts there, whosever list it is in.
+  std::vector<sched::Queued> queue;
+  for (const auto& [name, group] : groups_) {
+    group.each([&](const sched::Queued& entry) { queue.push_back(entry); });
+  }
+  if (queue.empty()) return;
+  std::map<std::uint32_t, std::vector<Host*>> holders;
+  for (auto* host : roomy_) {
+    ++steps_;
+    for (const auto image : host->images) holders[image].push_back(host);
+  }
+  std::sort(queue.begin(), queue.end(), [](const auto& a, const auto& b) { return a.before(b); });
+  for (const auto& entry : queue) {
+    auto* task = model_.task(entry.id);
+    if (task == nullptr) continue;
+    const auto found = holders.find(task->job->image);
+    if (found == holders.end()) continue;
+    auto& hosts = found->second;
+    const auto place = std::find_if(hosts.begin(), hosts.end(), [&](const Host* host) { return startable(*task, *host, now); });
+    if (place == hosts.end()) {
+      // What has no room for this one hardly has any for the next.
+      std::erase_if(hosts, [&](const Host* host) { return !model_.least_need().fits(host->room()); });
+      continue;
+    }
+    take(*task, **place, now);
+  }
+}
+
 void Planner::start_heads(double now) {
   const bool queued = std::any_of(groups_.begin(), groups_.end(), [](const auto& entry) { return entry.second.queued() > 0; });
   if (!queued) return;
@@ -491,6 +524,7 @@
   place_direct(now);
   queue_blocks(now);
   reorder(now);
+  start_cached(now);
   start_heads(now);
   relieve_guarantees(now);
   // What was decided changes rooms and lists at once.
--- a/src/engine/planner.hpp
+++ b/src/engine/planner.hpp
@@ -50,7 +50,9 @@
   void place_direct(double now);
   bool place_service(Job& job, double now);
   void place_gang(Job& job, double now);
+  void start_cached(double now);
   void start_heads(double now);
+  void take(Task& task, Host& host, double now);
   bool start_on(Host& host, double now);
   void relieve_guarantees(double now);
 
