--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -134,6 +134,9 @@
 /// Seconds between two commits of the leader: together they stay far below the
 /// changes that the state service takes, with room for users' own.
 inline constexpr double kCommitEvery = 0.12;
+/// Seconds. Pause after a refused commit: short, for acceptances of all nodes
+/// compete for the same rate, and every start waits for this one.
+inline constexpr double kCommitRetry = 0.08;
 
 // --- direct orders ---------------------------------------------------------------
 /// Seconds. Longest wait for a worker's answer to orders: a good deal above the
--- a/src/engine/committer.cpp
+++ b/src/engine/committer.cpp
@@ -194,7 +194,8 @@
   busy_ = true;
   pending->sent = now;
   next_commit_ = now + k::kCommitEvery;
-  store_.commit(pending->txn, ledger::Urgency::bookkeeping,
+  // One change that carries what many wait for goes before any single one.
+  store_.commit(pending->txn, ledger::Urgency::user,
                 scope_.wrap([this, pending](const ledger::CommitResult& result) { on_result(pending, result); }));
 }
 
@@ -222,7 +223,8 @@
       // numbers, so whichever copy comes second does no harm.
       return read_back(pending);
     default:
-      return pause(0.25);
+      // Refused, most likely for the rate that all nodes share.
+      return pause(k::kCommitRetry);
   }
 }
 
