--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -188,7 +188,7 @@
 /// Seconds. A job that has waited this long without beginning goes first of
 /// its rank, whatever its size: users expect the largest to begin within four
 /// minutes, and machines may first have to be rented and booted for it.
-inline constexpr double kBeginWithin = 90.0;
+inline constexpr double kBeginWithin = 150.0;
 /// Seconds. Interval at which every machine is looked at for what only time
 /// changes.
 inline constexpr double kReviewEvery = 1.0;
@@ -252,5 +252,10 @@
 /// paid for that long before it runs anything. Measured: shorter loses starts,
 /// longer loses money (docs/measurements.md).
 inline constexpr double kIdleShare = 0.75;
+/// Machines for which that share holds. Larger fleets keep idle ones for less,
+/// by the root of their size, as chance evens out; but never less than this
+/// part, for a rental costs 60 s at least.
+inline constexpr double kIdleFleet = 30;
+inline constexpr double kIdleScaleMin = 0.45;
 
 }  // namespace elmstall::constants
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -241,6 +241,9 @@
 
 void FleetKeeper::return_idle(const wire::Flavor& flavor, const std::vector<sched::Pool>& pools, const sched::Demand& demand, double now) {
   auto spare = sched::surplus(pools, demand);
+  // What chance does to demand weighs less the larger the fleet.
+  const double scale = std::clamp(std::sqrt(k::kIdleFleet / std::max<double>(1, static_cast<double>(model_.hosts().size()))), k::kIdleScaleMin, 1.0);
+  const double keep = settings_.tuning.idle_share * scale * flavor.ready_s;
   for (auto& [id, host] : model_.hosts()) {
     if (host->type != flavor.name || !host->synced || host->releasing) continue;
     if (!host->tasks.empty() || host->foreign) {
@@ -249,7 +252,7 @@
     }
     if (host->idle_since == kNever) host->idle_since = now;
     int& left = host->spot ? spare.spot : spare.ordinary;
-    if (left <= 0 || now - host->idle_since < settings_.tuning.idle_share * flavor.ready_s) continue;
+    if (left <= 0 || now - host->idle_since < keep) continue;
     --left;
     spdlog::info("host {} idle, returning it", host->id);
     release(*host);
