--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -239,6 +239,8 @@
 /// after a takeover for which arrivals tell nothing, for users then catch up.
 inline constexpr double kArrivalMemory = 90.0;
 inline constexpr double kArrivalSettle = 10.0;
+/// Seconds of arrivals after which their rate is worth acting upon.
+inline constexpr double kArrivalLearn = 15.0;
 /// Machines, and share of the ordinary work there is, kept free for services
 /// that must start sooner than a machine boots.
 inline constexpr double kHeadroomMachines = 0.5;
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -205,7 +205,7 @@
     share = 1.0 / std::floor(1.0 / share + 1e-6);
     if (job->spec.spot) ending += share * ending_soon(*job, flavor.ready_s, now);
     newest = std::max(newest, job->serial);
-    if (job->spec.spot && urgent(*job, flavor) && job->serial > counted_ && now - started_ > k::kArrivalSettle) {
+    if (job->spec.spot && urgent(*job, flavor) && job->serial > counted_ && job->submitted > started_ + k::kArrivalSettle) {
       arrivals.add(now, share * std::min<double>(job->spec.tasks, constants::kWindowTasks));
     }
     // No more than the team's limit allows at once.
@@ -216,7 +216,10 @@
   }
   counted_ = newest;
   // What is rented now serves the demand of one boot later.
-  const double change = arrivals.per_second(now) * flavor.ready_s - ending;
+  // After a takeover nothing is known of arrivals: what was taken over did not
+  // arrive just now, and ends without anything in its place would be wrong too.
+  const bool known = term_ <= 1 || now > started_ + k::kArrivalSettle + k::kArrivalLearn;
+  const double change = known ? arrivals.per_second(now) * flavor.ready_s - ending : 0;
   demand.flexible = std::max(0.0, demand.flexible + settings_.tuning.foresight * change);
   demand.headroom = settings_.tuning.headroom_machines + settings_.tuning.headroom_share * demand.ordinary;
   return demand;
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -159,6 +159,8 @@
 }
 
 void Leader::note_caretakers(double now) {
+  if (context_.mirror.cares().empty() && !any_cared_) return;
+  any_cared_ = !context_.mirror.cares().empty();
   for (auto& [id, host] : model_.hosts()) {
     const bool cared = std::any_of(context_.mirror.cares().begin(), context_.mirror.cares().end(),
                                    [&](const auto& care) { return care.second.first == host->zone; });
