--- a/src/engine/caretaker.cpp
+++ b/src/engine/caretaker.cpp
@@ -54,7 +54,7 @@
     wire::Txn txn;
     txn.guards = {{std::string(ledger::kTermKey), mirror_.term_stamp()}};
     txn.writes = {{ledger::care_key(settings_.node), ledger::encode(ledger::CareRecord{settings_.zone}), lease_}};
-    store_.commit(std::move(txn), ledger::Urgency::user, scope_.wrap([this, round, fail, sent](const ledger::CommitResult& result) {
+    store_.commit(std::move(txn), scope_.wrap([this, round, fail, sent](const ledger::CommitResult& result) {
       if (round != round_) return;
       if (result.outcome != Outcome::ok) return fail();
       spdlog::info("taking care of {}: its leader can't be heard", settings_.zone);
@@ -88,7 +88,7 @@
   wire::Txn txn;
   txn.guards = {{ledger::care_key(settings_.node), found->second.second}};
   txn.writes = {{ledger::care_key(settings_.node), std::nullopt, 0}};
-  store_.commit(std::move(txn), ledger::Urgency::user, [](const ledger::CommitResult&) {});
+  store_.commit(std::move(txn), [](const ledger::CommitResult&) {});
 }
 
 void Caretaker::answer_waiting() {
--- a/src/engine/committer.cpp
+++ b/src/engine/committer.cpp
@@ -195,7 +195,7 @@
   pending->sent = now;
   next_commit_ = now + k::kCommitEvery;
   // One change that carries what many wait for goes before any single one.
-  store_.commit(pending->txn, ledger::Urgency::user,
+  store_.commit(pending->txn,
                 scope_.wrap([this, pending](const ledger::CommitResult& result) { on_result(pending, result); }));
 }
 
--- a/src/engine/gateway.cpp
+++ b/src/engine/gateway.cpp
@@ -119,7 +119,7 @@
   // after the job is over must not create it again.
   txn.guards = {{ledger::job_key(call->id), 0}, {ledger::final_key(call->id), 0}};
   txn.writes = {{ledger::job_key(call->id), ledger::encode(ledger::JobRecord{call->spec, false, runtime_.wall()}), 0}};
-  store_.commit(std::move(txn), ledger::Urgency::user, scope_.wrap([this, call](const ledger::CommitResult& result) {
+  store_.commit(std::move(txn), scope_.wrap([this, call](const ledger::CommitResult& result) {
     switch (result.outcome) {
       case Outcome::ok:
         return answer(call, 201, {call->id, wire::JobState::queued, 0, 0}, false);
@@ -167,7 +167,7 @@
   wire::Txn txn;
   txn.guards = {{ledger::job_key(call->id), job->stamp}};
   txn.writes = {{ledger::job_key(call->id), ledger::encode(record), 0}};
-  store_.commit(std::move(txn), ledger::Urgency::user, scope_.wrap([this, call](const ledger::CommitResult& result) {
+  store_.commit(std::move(txn), scope_.wrap([this, call](const ledger::CommitResult& result) {
     if (result.outcome == Outcome::ok) return answer(call, 200, {call->id, wire::JobState::cancelled, 0, 0}, false);
     if (result.outcome == Outcome::unavailable) return retry(call, [this, call] { mark_cancelled(call); });
     // Changed by somebody else, or perhaps by this very request: look again
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -292,7 +292,7 @@
     txn.writes = {{std::string(ledger::kTermKey), ledger::encode(ledger::TermRecord{term}), 0},
                   {std::string(ledger::kLeadKey), ledger::encode(ledger::LeadRecord{settings_.node, incarnation_, term}), lease_}};
     stood_at_ = runtime_.now();
-    store_.commit(std::move(txn), ledger::Urgency::user, scope_.wrap([this, give_up](const ledger::CommitResult& result) {
+    store_.commit(std::move(txn), scope_.wrap([this, give_up](const ledger::CommitResult& result) {
       // Won or not, the mirror will tell: it must hold all that came before
       // this term in any case.
       if (result.outcome != Outcome::ok) give_up();
@@ -334,7 +334,7 @@
     txn.writes.push_back({std::string(ledger::kTypesKey), wire::encode_flavors(flavors_), 0});
   }
   types_recorded_ = true;
-  store_.commit(std::move(txn), ledger::Urgency::user, scope_.wrap([this, sent, term = leader_->term()](const ledger::CommitResult& result) {
+  store_.commit(std::move(txn), scope_.wrap([this, sent, term = leader_->term()](const ledger::CommitResult& result) {
     if (!leader_ || leader_->term() != term) return;
     if (result.outcome == Outcome::ok) leader_->confirm(sent);
     const bool deposed = std::find(result.failed.begin(), result.failed.end(), ledger::kTermKey) != result.failed.end();
--- a/src/ledger/state_client.cpp
+++ b/src/ledger/state_client.cpp
@@ -40,9 +40,9 @@
   return requests_.level >= 1 && writes_.level >= std::min(job.writes, writes_.rate);
 }
 
-void StateClient::submit(Urgency urgency, Job job) {
+void StateClient::submit(Job job) {
   job.deadline = Clock::now() + std::chrono::milliseconds(static_cast<long>(constants::kStateTimeout * 1000));
-  (urgency == Urgency::user ? urgent_ : normal_).push_back(std::move(job));
+  queue_.push_back(std::move(job));
   pump();
 }
 
@@ -52,24 +52,23 @@
   refilled_ = now;
   requests_.refill(elapsed);
   writes_.refill(elapsed);
-  for (auto* queue : {&urgent_, &normal_}) {
-    while (!queue->empty()) {
-      if (queue->front().deadline <= now) {
-        auto late = std::move(queue->front());
-        queue->pop_front();
-        late.give_up();
-        continue;
-      }
-      if (!affordable(queue->front())) break;
-      auto job = std::move(queue->front());
-      queue->pop_front();
+  // In order; but reads don't wait behind a write that the rate holds back.
+  bool writes_wait = false;
+  for (std::size_t left = queue_.size(); left > 0; --left) {
+    auto job = std::move(queue_.front());
+    queue_.pop_front();
+    if (job.deadline <= now) {
+      job.give_up();
+    } else if (!affordable(job) || (writes_wait && job.writes > 0)) {
+      writes_wait = writes_wait || job.writes > 0;
+      queue_.push_back(std::move(job));  // round to where it was
+    } else {
       requests_.level -= 1;
       writes_.level -= job.writes;
       job.send();
     }
-    if (!queue->empty()) break;
   }
-  if (armed_ || (urgent_.empty() && normal_.empty())) return;
+  if (armed_ || queue_.empty()) return;
   armed_ = true;
   timer_.expires_after(std::chrono::milliseconds(20));
   timer_.async_wait([this](asio::error_code error) {
@@ -102,7 +101,7 @@
       }));
     });
   };
-  submit(Urgency::user, {0, {}, std::move(send), [done] { done({Outcome::unavailable, {}, 0}); }});
+  submit({0, {}, std::move(send), [done] { done({Outcome::unavailable, {}, 0}); }});
 }
 
 void StateClient::list(const std::string& prefix, const std::string& since, std::function<void(ListResult)> done) {
@@ -115,7 +114,7 @@
       }));
     });
   };
-  submit(Urgency::user, {0, {}, std::move(send), [done] { done({Outcome::unavailable, {}}); }});
+  submit({0, {}, std::move(send), [done] { done({Outcome::unavailable, {}}); }});
 }
 
 void StateClient::watch(const std::string& prefix, std::uint64_t since, double hold_s, std::function<void(WatchResult)> done) {
@@ -128,10 +127,10 @@
       }));
     });
   };
-  submit(Urgency::user, {0, {}, std::move(send), [done] { done({Outcome::unavailable, {}}); }});
+  submit({0, {}, std::move(send), [done] { done({Outcome::unavailable, {}}); }});
 }
 
-void StateClient::commit(wire::Txn txn, Urgency urgency, std::function<void(CommitResult)> done) {
+void StateClient::commit(wire::Txn txn, std::function<void(CommitResult)> done) {
   const auto writes = static_cast<double>(txn.writes.size());
   auto send = [this, body = wire::encode_txn(txn), done] {
     client_.request("POST", "/commit", body, constants::kStateTimeout, [done](const net::Reply& reply) {
@@ -145,7 +144,7 @@
       }));
     });
   };
-  submit(urgency, {writes, {}, std::move(send), [done] { done({Outcome::unavailable, 0, {}}); }});
+  submit({writes, {}, std::move(send), [done] { done({Outcome::unavailable, 0, {}}); }});
 }
 
 void StateClient::grant(double life_s, std::function<void(GrantResult)> done) {
@@ -158,7 +157,7 @@
       }));
     });
   };
-  submit(Urgency::user, {0, {}, std::move(send), [done] { done({Outcome::unavailable, 0}); }});
+  submit({0, {}, std::move(send), [done] { done({Outcome::unavailable, 0}); }});
 }
 
 void StateClient::renew(std::uint64_t lease, std::function<void(Outcome)> done) {
@@ -166,7 +165,7 @@
     client_.request("POST", "/grants/" + std::to_string(lease) + "/renew", {}, constants::kStateTimeout,
                     [done](const net::Reply& reply) { done(outcome_of(reply)); });
   };
-  submit(Urgency::user, {0, {}, std::move(send), [done] { done(Outcome::unavailable); }});
+  submit({0, {}, std::move(send), [done] { done(Outcome::unavailable); }});
 }
 
 }  // namespace elmstall::ledger
--- a/src/ledger/state_client.hpp
+++ b/src/ledger/state_client.hpp
@@ -22,7 +22,7 @@
   void get(const std::string& key, std::function<void(GetResult)> done) override;
   void list(const std::string& prefix, const std::string& since, std::function<void(ListResult)> done) override;
   void watch(const std::string& prefix, std::uint64_t since, double hold_s, std::function<void(WatchResult)> done) override;
-  void commit(wire::Txn txn, Urgency urgency, std::function<void(CommitResult)> done) override;
+  void commit(wire::Txn txn, std::function<void(CommitResult)> done) override;
   void grant(double life_s, std::function<void(GrantResult)> done) override;
   void renew(std::uint64_t lease, std::function<void(Outcome)> done) override;
 
@@ -41,7 +41,7 @@
     std::function<void()> give_up;
   };
 
-  void submit(Urgency urgency, Job job);
+  void submit(Job job);
   void pump();
   bool affordable(const Job& job) const;
   static Outcome outcome_of(const net::Reply& reply);
@@ -53,8 +53,7 @@
   Bucket requests_;
   Bucket writes_;
   Clock::time_point refilled_;
-  std::deque<Job> urgent_;
-  std::deque<Job> normal_;
+  std::deque<Job> queue_;
 };
 
 }  // namespace elmstall::ledger
--- a/tests/support/fake_state.cpp
+++ b/tests/support/fake_state.cpp
@@ -139,7 +139,7 @@
   exchange<ledger::ListResult>([this, prefix, since] { return state_.list(prefix, since, 7); }, std::move(done), {Outcome::unavailable, {}}, {}, false);
 }
 
-void FakeStore::commit(wire::Txn txn, ledger::Urgency, std::function<void(ledger::CommitResult)> done) {
+void FakeStore::commit(wire::Txn txn, std::function<void(ledger::CommitResult)> done) {
   exchange<ledger::CommitResult>([this, txn = std::move(txn)] { return state_.commit(txn); }, std::move(done), {Outcome::unavailable, 0, {}}, {}, true);
 }
 
--- a/tests/support/fake_state.hpp
+++ b/tests/support/fake_state.hpp
@@ -64,7 +64,7 @@
   void get(const std::string& key, std::function<void(ledger::GetResult)> done) override;
   void list(const std::string& prefix, const std::string& since, std::function<void(ledger::ListResult)> done) override;
   void watch(const std::string& prefix, std::uint64_t since, double hold_s, std::function<void(ledger::WatchResult)> done) override;
-  void commit(wire::Txn txn, ledger::Urgency urgency, std::function<void(ledger::CommitResult)> done) override;
+  void commit(wire::Txn txn, std::function<void(ledger::CommitResult)> done) override;
   void grant(double life_s, std::function<void(ledger::GrantResult)> done) override;
   void renew(std::uint64_t lease, std::function<void(ledger::Outcome)> done) override;
   /// The process at this end died: nothing comes back any more.
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -306,6 +306,27 @@
   EXPECT_EQ(refused, 200U);
 }
 
+// --- fleet ---------------------------------------------------------------------------------
+
+/// After a takeover what was found was once counted as having arrived at that
+/// moment, and machines were rented for as much again.
+TEST(Fleet, ATakeoverIsNoArrivalOfJobs) {
+  World world(40);
+  world.cloud.capacity = 60;
+  for (int i = 1; i <= 6; ++i) {
+    auto job = array(i, 4, 100);
+    job.due_s = 110;  // urgent: nothing like it can wait for a boot
+    world.submit(job);
+  }
+  world.run_until(50);
+  const auto before = world.workers.size();
+  world.crash(leader_index(world), 0.3);
+  world.run_until(75);
+  ASSERT_NE(world.leader(), nullptr);
+  EXPECT_LE(world.workers.size(), before + 1);
+  expect_rules(world);
+}
+
 // --- what a decision costs ---------------------------------------------------------------
 
 /// What decisions cost follows what happens, not batches times machines: on a
