Cached starts go to spot and fuller machines first

Cause: starts where the image is cached took machines in order of their names, which kept half-empty ordinary machines in use.

--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -433,6 +433,17 @@
   model_.assign(task, host, now);
 }
 
+std::vector<Host*> Planner::by_fullness() const {
+  std::vector<Host*> hosts(roomy_.begin(), roomy_.end());
+  // Spot machines first: ordinary room is what services need. Then the fuller
+  // ones, so that others become empty and can go.
+  std::stable_sort(hosts.begin(), hosts.end(), [](const Host* a, const Host* b) {
+    if (a->spot != b->spot) return a->spot;
+    return a->tasks.size() > b->tasks.size();
+  });
+  return hosts;
+}
+
 void Planner::start_cached(double now) {
   // Fetching an image takes as long as a good part of a task: where a machine
   // with room holds it already, the task starts there, whosever list it is in.
@@ -442,7 +453,7 @@
   }
   if (queue.empty()) return;
   std::map<std::uint32_t, std::vector<Host*>> holders;
-  for (auto* host : roomy_) {
+  for (auto* host : by_fullness()) {
     ++steps_;
     for (const auto image : host->images) holders[image].push_back(host);
   }
@@ -466,14 +477,8 @@
 void Planner::start_heads(double now) {
   const bool queued = std::any_of(groups_.begin(), groups_.end(), [](const auto& entry) { return entry.second.queued() > 0; });
   if (!queued) return;
-  std::vector<Host*> hosts(roomy_.begin(), roomy_.end());
-  // Spot machines first: ordinary room is what services need.
-  std::stable_sort(hosts.begin(), hosts.end(), [](const Host* a, const Host* b) {
-    if (a->spot != b->spot) return a->spot;
-    return a->tasks.size() > b->tasks.size();
-  });
   Misses misses;
-  for (auto* host : hosts) {
+  for (auto* host : by_fullness()) {
     ++steps_;
     auto& missed = misses[{group_name(*host), host->spot}];
     const auto hopeless = [&](const Host& one) {
--- a/src/engine/planner.hpp
+++ b/src/engine/planner.hpp
@@ -50,6 +50,8 @@
   void place_direct(double now);
   bool place_service(Job& job, double now);
   void place_gang(Job& job, double now);
+  /// Machines with room, in the order in which tasks should go there.
+  [[nodiscard]] std::vector<Host*> by_fullness() const;
   void start_cached(double now);
   void start_heads(double now);
   void take(Task& task, Host& host, double now);
