--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -229,6 +229,9 @@
 /// the rest.
 inline constexpr double kRentShare = 0.6;
 inline constexpr double kListEvery = 5.0;
+/// Seconds. Work that is bound to a zone and has waited this long gets machines
+/// of that zone, however many stand idle elsewhere.
+inline constexpr double kZonePatience = 3.0;
 /// Seconds. Deletions are gathered for this long: each request counts against
 /// the cloud's rate, and takes up to a hundred names.
 inline constexpr double kReleaseEvery = 1.0;
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -187,6 +187,56 @@
   return count;
 }
 
+std::map<std::string, FleetKeeper::Bound> FleetKeeper::bound_to_zones(const wire::Flavor& flavor, double now) const {
+  const sched::Amount whole{flavor.cpus, flavor.gpus, flavor.memory_gb};
+  std::map<std::string, Bound> bound;
+  // Only jobs with tasks that have not found a place can be short of a zone.
+  for (const auto& [id, job] : model_.jobs()) {
+    const auto& spec = job->spec;
+    const bool halves = job->gang() && spec.scatter;
+    if ((!spec.zone && !spec.together && !halves) || job->cancelled || job->failed_until > now || now - job->submitted < k::kZonePatience) continue;
+    const double share = job->need.share_of(whole);
+    if (share > 1 + 1e-6) continue;
+    double waiting = 0;
+    for (const auto& [number, block] : job->blocks) {
+      waiting += static_cast<double>(std::count_if(block->tasks.begin(), block->tasks.end(), [](const Task& task) { return task.phase == Phase::pending; }));
+    }
+    if (waiting <= 0) continue;
+    const double machines = std::ceil(waiting / std::floor(1.0 / share + 1e-6));
+    const auto add = [&](const std::string& zone, double count) {
+      auto& entry = bound[zone];
+      entry.machines += count;
+      entry.spot = entry.spot && spec.spot;
+    };
+    if (spec.zone) add(*spec.zone, machines);
+    else if (spec.together) add(job->per_zone.empty() ? (job->zone_choice.empty() ? settings_.zones.front() : job->zone_choice) : job->per_zone.begin()->first, machines);
+    else for (const auto& zone : settings_.zones) add(zone, std::ceil(machines / static_cast<double>(settings_.zones.size())));
+  }
+  return bound;
+}
+
+void FleetKeeper::rent_for_zones(const wire::Flavor& flavor, const std::vector<sched::Pool>& pools, double now) {
+  // The fleet's size follows all demand together, but a machine in one zone
+  // is no use to work that may only run in another.
+  const sched::Amount whole{flavor.cpus, flavor.gpus, flavor.memory_gb};
+  wanted_zones_.clear();
+  for (const auto& [zone, bound] : bound_to_zones(flavor, now)) {
+    wanted_zones_.insert(zone);
+    double there = 0;
+    for (const auto& pool : pools) {
+      if (pool.zone == zone) there += pool.booting;
+    }
+    for (const auto& [id, host] : model_.hosts()) {
+      const bool kind = host->type == flavor.name && host->zone == zone && (bound.spot || !host->spot);
+      if (kind && Planner::usable(*host, now, settings_)) there += std::max(0.0, 1 - host->used.share_of(whole));
+    }
+    const auto missing = static_cast<int>(std::ceil(bound.machines - there - 1e-6));
+    if (missing <= 0) continue;
+    const auto pool = std::find_if(pools.begin(), pools.end(), [&, z = &zone, b = &bound](const sched::Pool& one) { return one.zone == *z && !one.blocked && (b->spot || !one.spot); });
+    if (pool != pools.end()) rent({pool->type, pool->zone, pool->spot}, missing);
+  }
+}
+
 sched::Demand FleetKeeper::demand_of(const wire::Flavor& flavor, double now) {
   const sched::Amount whole{flavor.cpus, flavor.gpus, flavor.memory_gb};
   sched::Demand demand;
@@ -233,6 +283,7 @@
   if (!ever_listed_ || now < started_ + wait) return;
   for (const auto& flavor : model_.flavors()) {
     const auto pools = pools_of(flavor, now);
+    rent_for_zones(flavor, pools, now);
     const auto demand = demand_of(flavor, now);
     for (const auto& rental : sched::plan_rentals(pools, demand)) {
       const auto& pool = pools[rental.pool];
@@ -255,7 +306,7 @@
     }
     if (host->idle_since == kNever) host->idle_since = now;
     int& left = host->spot ? spare.spot : spare.ordinary;
-    if (left <= 0 || now - host->idle_since < keep) continue;
+    if (left <= 0 || wanted_zones_.contains(host->zone) || now - host->idle_since < keep) continue;
     --left;
     spdlog::info("host {} idle, returning it", host->id);
     release(*host);
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -43,6 +43,14 @@
   void send_rent(const Request& request);
   void on_rented(const Request& request, const fleet::RentResult& result);
   [[nodiscard]] std::vector<sched::Pool> pools_of(const wire::Flavor& flavor, double now) const;
+  /// Work that waits for machines of one zone: bound there by its job, or a
+  /// gang that needs them together.
+  struct Bound {
+    double machines = 0;
+    bool spot = true;  ///< all of it may use spot machines
+  };
+  [[nodiscard]] std::map<std::string, Bound> bound_to_zones(const wire::Flavor& flavor, double now) const;
+  void rent_for_zones(const wire::Flavor& flavor, const std::vector<sched::Pool>& pools, double now);
   [[nodiscard]] sched::Demand demand_of(const wire::Flavor& flavor, double now);
   /// Its aim leaves no time to boot a machine for it.
   [[nodiscard]] bool urgent(const Job& job, const wire::Flavor& flavor) const;
@@ -62,6 +70,7 @@
   std::uint64_t next_request_ = 1;
   double started_ = 0;
   double next_plan_ = kNever;
+  std::set<std::string> wanted_zones_;  ///< work bound to them waits: nothing is returned there
   double allowance_ = 0;  ///< requests that may be sent now
   double next_list_ = kNever;
   bool releasing_ = false;  ///< a request is under way
--- a/tests/chaos_test.cpp
+++ b/tests/chaos_test.cpp
@@ -173,7 +173,7 @@
   world.run_until(480);
   for (const auto& id : world.rules.accepted_jobs()) {
     EXPECT_GT(world.answered_at(id), 400) << id << " was not answered for";
-    // Gangs may ask for more machines at once than a zone has.
+    // A gang may ask for more machines at once than there are.
     const bool gang = world.spec(id)->kind == wire::JobKind::gang;
     if (!gang) {
       EXPECT_NE(world.last_told(id), wire::JobState::queued) << id << " never began";
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -327,6 +327,26 @@
   expect_rules(world);
 }
 
+/// A job bound to one zone once waited for ever beside idle machines of another,
+/// and so did a gang larger than what stood in any one zone.
+TEST(Fleet, ZonesOfBoundWorkAreServed) {
+  for (const char* zone : {"north", "south"}) {
+    World world(41);
+    auto bound = array(1, 6, 300);
+    bound.zone = zone;
+    bound.spot = false;
+    world.submit(bound);
+    auto gang = array(2, 8, 300);
+    gang.kind = wire::JobKind::gang;
+    gang.together = true;
+    world.submit(gang);
+    world.run_until(120);
+    EXPECT_EQ(placed(world, "job-1"), 6U) << zone;
+    EXPECT_EQ(placed(world, "job-2"), 8U) << zone;
+    expect_rules(world);
+  }
+}
+
 // --- what a decision costs ---------------------------------------------------------------
 
 /// What decisions cost follows what happens, not batches times machines: on a
