--- a/src/engine/committer.hpp
+++ b/src/engine/committer.hpp
@@ -75,8 +75,6 @@
   [[nodiscard]] bool finishing(const std::string& job) const { return finals_.contains(job); }
   /// Sends the next transaction, if there is one and none is in flight.
   void flush();
-  /// Changed records and last words that wait to be written.
-  [[nodiscard]] std::size_t backlog() const { return dirty_.size() + finals_.size(); }
 
  private:
   struct Slot {
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -11,7 +11,7 @@
 
 class FleetKeeper {
  public:
-  /// `first_term`: nobody can have rented anything before us.
+  /// `term`: in the first nobody can have rented anything before us.
   FleetKeeper(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, fleet::Cloud& cloud, Model& model,
               Estimates& estimates, std::uint64_t term, std::function<void(Host&)> gone);
 
