--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -422,7 +422,10 @@
 
 std::vector<wire::Order> Leader::orders_for(Host& host) {
   std::vector<wire::Order> orders;
-  for (const auto& [name, unused] : host.stray) orders.push_back({wire::Verb::stop, name.job, name.index, name.attempt, 0});
+  for (const auto& [name, unused] : host.stray) {
+    if (orders.size() >= k::kMaxOrders) break;
+    orders.push_back({wire::Verb::stop, name.job, name.index, name.attempt, 0});
+  }
   for (auto* task : host.tasks) {
     if (orders.size() >= k::kMaxOrders) break;
     if (task->phase != Phase::assigned) continue;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -306,6 +306,23 @@
   EXPECT_EQ(refused, 200U);
 }
 
+/// A report with hundreds of tasks that nobody knows gets an answer of bounded
+/// size, and the machine no work while it holds them.
+TEST(BadInput, HundredsOfUnknownTasksAreAnsweredWithinBounds) {
+  World world(42);
+  world.run_until(5);
+  wire::Report report{"host-999999", "", "m12", "north", false, 1, 1, 0, std::nullopt, {}};
+  for (std::uint32_t i = 0; i < 900; ++i) report.tasks.push_back({"job-77", i, 1, wire::TaskState::running, wire::EndCause::none, false});
+  std::optional<net::Response> answer;
+  world.send_to_node(leader_index(world), {"POST", "/v1/report", wire::encode_report(report)}, [&](net::Response response) { answer = std::move(response); });
+  world.run_until(6);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_LT(answer->body.size(), 64U * 1024);
+  EXPECT_EQ(wire::decode_orders(wire::Document::parse(answer->body).root()).orders.size(), constants::kMaxOrders);
+  EXPECT_TRUE(world.leader()->leader()->model().find_host("host-999999")->foreign);
+}
+
 // --- fleet ---------------------------------------------------------------------------------
 
 /// After a takeover what was found was once counted as having arrived at that
