Reread: one place each for leaving lists, leaving a group, and orders beyond clearing

The planner took a machine out of its group in two places, three callers reset a task's mark after taking it off its list, and the leader asked twice whether orders do more than clear.

--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -12,6 +12,15 @@
 using wire::EndCause;
 using wire::TaskState;
 
+namespace {
+
+/// Clearing alone neither starts nor stops anything.
+bool beyond_clearing(const std::vector<wire::Order>& orders) {
+  return std::any_of(orders.begin(), orders.end(), [](const wire::Order& order) { return order.verb != wire::Verb::clear; });
+}
+
+}  // namespace
+
 Leader::Leader(Context context, std::uint64_t term, std::uint64_t term_stamp, double confirmed)
     : context_(context),
       term_(term),
@@ -118,7 +127,6 @@
   for (auto& [number, block] : job.blocks) {
     for (auto& task : block->tasks) {
       planner_.forget(task);
-      task.listed = false;
       if (task.phase == Phase::planned || task.phase == Phase::assigned) {
         stop_task(model_, task, false);
         // Whatever it was saving is of no use to anybody now.
@@ -239,7 +247,7 @@
   // One way at a time: a reply to direct orders that are in flight would not
   // show what this answer orders.
   if (!host.exchanging) orders = orders_for(host);
-  host.answered_orders = std::any_of(orders.begin(), orders.end(), [](const wire::Order& order) { return order.verb != wire::Verb::clear; });
+  host.answered_orders = beyond_clearing(orders);
   const bool awaited = host.answered_orders || !host.synced;
   if (awaited && host.unheeded_since == kNever) host.unheeded_since = now;
   host.last_answer = now;
@@ -466,7 +474,7 @@
     if (waits && way && exchanges_ < k::kExchangesMax) {
       auto orders = orders_for(*host);
       // Clearing alone is not worth a message of its own.
-      if (std::any_of(orders.begin(), orders.end(), [](const wire::Order& order) { return order.verb != wire::Verb::clear; })) exchange(*host, std::move(orders));
+      if (beyond_clearing(orders)) exchange(*host, std::move(orders));
     }
     it = waits ? std::next(it) : attention.erase(it);
   }
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -1,6 +1,7 @@
 #include "engine/planner.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "config/constants.hpp"
 
@@ -60,8 +61,8 @@
   return static_cast<int>(job.spec.priority) * 2 + (guaranteed(job) ? 1 : 0);
 }
 
-void Planner::forget(const Task& task) {
-  if (!task.listed) return;
+void Planner::forget(Task& task) {
+  if (!std::exchange(task.listed, false)) return;
   for (auto& [name, group] : groups_) {
     if (group.remove(task.id)) break;
   }
@@ -69,11 +70,7 @@
 
 void Planner::update_worker(Host& host, double now) {
   ++steps_;
-  if (!usable(host, now, settings_)) {
-    roomy_.erase(&host);
-    if (const auto found = groups_.find(group_name(host)); found != groups_.end()) found->second.remove_worker(host.id);
-    return;
-  }
+  if (!usable(host, now, settings_)) return gone(host);
   const auto room = host.room();
   if (model_.least_need().fits(room)) roomy_.insert(&host);
   else roomy_.erase(&host);
@@ -429,7 +426,6 @@
 
 void Planner::take(Task& task, Host& host, double now) {
   forget(task);
-  task.listed = false;
   model_.assign(task, host, now);
 }
 
@@ -516,7 +512,6 @@
     const auto place = displace(job, now);
     if (!place) continue;
     forget(*task);
-    task->listed = false;
     for (auto* victim : place->victims) stop_task(model_, *victim, true, now + constants::kPreemptPause);
     model_.plan(*task, *place->host);
   }
--- a/src/engine/planner.hpp
+++ b/src/engine/planner.hpp
@@ -13,8 +13,9 @@
       : settings_(settings), model_(model), estimates_(estimates) {}
 
   void decide(double now);
-  void forget(const Task& task);
-  /// The machine is about to be forgotten.
+  /// The task stands in no list any more.
+  void forget(Task& task);
+  /// The machine takes no tasks, or is about to be forgotten.
   void gone(Host& host);
   [[nodiscard]] static bool usable(const Host& host, double now, const config::Settings& settings);
   [[nodiscard]] const std::map<std::string, sched::Group>& groups() const { return groups_; }
