A care in one zone no longer refuses retirements in others

Cause: a retirement guarded on the care keys of all nodes. While any zone was in care it was refused again and again, and with it all starts and ends that were to be recorded in the same transaction: the whole service stood still until the care ended (test seen to fail with the guard on all keys). Ruled out: the mirror being late, the log's own versions. Now only the nodes of the machine's zone are excluded, for nobody else answers its reports.

--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -181,9 +181,17 @@
 
 void Leader::retire(Host& host) {
   host.retired = true;
-  // Nobody may become a caretaker without seeing this, and whoever is one
-  // already makes it fail.
-  for (const auto& peer : context_.settings.peers) host.record->absent.push_back(ledger::care_key(peer.name));
+  // Nobody may become a caretaker of its zone without seeing this, and whoever
+  // is one already makes it fail. Others don't answer this machine, so their
+  // care must not: what is refused once for a whole zone's cut would hold up
+  // everything else that is to be recorded.
+  const auto& settings = context_.settings;
+  const auto exclude = [&](const std::string& node, const std::string& zone) {
+    if (zone.empty() || zone == host.zone) host.record->absent.push_back(ledger::care_key(node));
+  };
+  host.record->absent.clear();
+  exclude(settings.node, settings.zone);
+  for (const auto& peer : settings.peers) exclude(peer.name, peer.zone);
   committer_.touch(*host.record);
 }
 
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -190,6 +190,49 @@
   }
 }
 
+// --- machines that die while a zone is in care -----------------------------------------
+
+/// A retirement was once refused while anybody took care of any zone, and the
+/// refusal failed all that was to be recorded beside it: starts and ends of all
+/// zones stood still for as long as one zone was cut.
+TEST(DeadMachine, IsGivenUpThoughAnotherZoneIsInCare) {
+  World world(43);
+  world.cloud.capacity = 20;
+  auto north = array(1, 5, 2000);
+  north.zone = "north";
+  world.submit(north);
+  auto south = array(2, 4, 2000);
+  south.zone = "south";
+  world.submit(south);
+  world.run_until(45);
+  ASSERT_EQ(placed(world, "job-1"), 5U);
+  ASSERT_EQ(placed(world, "job-2"), 4U);
+  if (leader_index(world) == 1) {
+    world.crash(1, 0.5);
+    world.run_until(55);
+  }
+  ASSERT_NE(leader_index(world), 1U);
+  world.cut_mesh(1, true);  // the only controller of the south
+  world.run_until(60);
+  ASSERT_FALSE(world.leader()->mirror().cares().empty()) << "the south is in care";
+  world.cloud.down = true;  // no help from there
+  auto* dead = worker_of(world, "job-1");
+  ASSERT_NE(dead, nullptr);
+  dead->die();
+  auto quick = array(3, 1, 20);  // ends when the dead machine's lease of 10 s is over
+  quick.zone = "north";
+  world.submit(quick);
+  world.run_until(95);
+  ASSERT_FALSE(world.leader()->mirror().cares().empty());
+  auto* host = world.leader()->leader()->model().find_host(dead->id());
+  ASSERT_NE(host, nullptr);
+  EXPECT_TRUE(host->tasks.empty()) << "given up";
+  world.poll("job-3");
+  world.run_until(97);
+  EXPECT_EQ(world.last_told("job-3"), JobState::done) << "others went on";
+  expect_rules(world);
+}
+
 // --- a controller apart ------------------------------------------------------------------
 
 /// Without the state service and the other controllers, but with its workers:
