Connections: idle ones give way, workers are closed after their answer when sockets run short

Now workers' answers close their connection above 0.56 of the limit, and at 0.8 a newcomer takes the place of whoever keeps us waiting the longest; nobody is cut off before its answer.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -48,7 +48,8 @@
 }
 
 net::ServerLimits server_limits(const config::Settings& settings) {
-  return {static_cast<std::size_t>(settings.fd_limit * constants::kInboundSocketShare), constants::kMaxBodyBytes};
+  const double inbound = settings.fd_limit * constants::kInboundSocketShare;
+  return {static_cast<std::size_t>(inbound), constants::kMaxBodyBytes, static_cast<std::size_t>(inbound * constants::kCrowdedShare)};
 }
 
 }  // namespace
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -38,8 +38,14 @@
 /// Seconds. An idle kept-alive connection; users poll every 5 s.
 inline constexpr double kIdleTimeout = 60.0;
 /// Share of the socket limit that inbound connections may take; the rest is
-/// for the state service, cloud, workers, peers.
-inline constexpr double kInboundSocketShare = 0.7;
+/// for workers that are sent orders (`kWorkerSocketShare`), the state service
+/// (10), the cloud (4), peers (5 each) and what is being closed.
+inline constexpr double kInboundSocketShare = 0.8;
+/// Share of those above which workers' connections are closed after their
+/// answer: a fleet may be larger than what one controller has sockets, and a
+/// report takes its own for milliseconds only. What is left is for readiness,
+/// users, and workers that all come at once.
+inline constexpr double kCrowdedShare = 0.7;
 /// Seconds. Longest wait for an answer of the state service: users wait 5 s
 /// for a submission, which leaves room for a read-back and a second try.
 inline constexpr double kStateTimeout = 1.5;
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -72,7 +72,14 @@
   if (path == "/ready") {
     if (only("GET")) respond({ready() ? 200 : 503, {}, 0});
   } else if (path == "/v1/report") {
-    if (only("POST")) on_report(request.body, std::move(respond), false);
+    if (!only("POST")) return;
+    // A worker finds its way back; users and the balancer go before it where
+    // connections are short.
+    const auto yielding = [respond = std::move(respond)](net::Response response) {
+      response.yields = true;
+      respond(std::move(response));
+    };
+    on_report(request.body, yielding, false);
   } else if (path == jobs) {
     if (only("POST")) gateway_.submit(request.body, std::move(respond));
   } else if (path.starts_with(jobs) && path[jobs.size()] == '/') {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,7 +5,9 @@
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <list>
 #include <unordered_set>
+#include <utility>
 
 #include "config/constants.hpp"
 
@@ -48,6 +50,10 @@
   ServerLimits limits;
   Handler handler;
   std::unordered_set<Session*> sessions;
+  /// Those from which a request, or the rest of one, is awaited; the one that
+  /// was last served longest ago comes first.
+  std::list<Session*> awaited;
+  std::size_t open = 0;  ///< sockets; a closed one's session lives on for a moment
   bool closed = false;
 };
 
@@ -58,21 +64,38 @@
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
     shared_->sessions.insert(this);
+    ++shared_->open;
+  }
+  ~Session() {
+    close();
+    shared_->sessions.erase(this);
   }
-  ~Session() { shared_->sessions.erase(this); }
 
   void start() {
+    await();
     arm(constants::kIdleTimeout);
     read();
   }
 
   void close() {
+    if (std::exchange(closed_, true)) return;
     asio::error_code ignored;
+    --shared_->open;
+    stop_awaiting();
     timer_.cancel();
     socket_.close(ignored);
   }
 
  private:
+  void await() {
+    if (!awaiting_) place_ = shared_->awaited.insert(shared_->awaited.end(), this);
+    awaiting_ = true;
+  }
+
+  void stop_awaiting() {
+    if (std::exchange(awaiting_, false)) shared_->awaited.erase(place_);
+  }
+
   void arm(double seconds) {
     timer_.expires_after(ms(seconds));
     timer_.async_wait([weak = weak_from_this()](asio::error_code error) {
@@ -107,11 +130,13 @@
   }
 
   void refuse(int status, const char* text) {
+    stop_awaiting();
     keep_alive_ = false;
     send({status, text, 0, "text/plain"});
   }
 
   void dispatch() {
+    stop_awaiting();
     timer_.cancel();
     Request request{http_method_str(static_cast<http_method>(parser_.method)), std::move(path_), std::move(body_)};
     auto answered = std::make_shared<bool>(false);
@@ -125,6 +150,7 @@
   void send(Response response) {
     if (!socket_.is_open()) return;
     arm(constants::kRequestReadTimeout);
+    if (response.yields && shared_->open > shared_->limits.crowded) keep_alive_ = false;
     out_ = head(response, !keep_alive_) + response.body;
     asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](asio::error_code error, std::size_t) {
       if (error || !self->keep_alive_) return self->close();
@@ -139,6 +165,7 @@
     body_.clear();
     header_bytes_ = 0;
     complete_ = in_message_ = false;
+    await();
     arm(constants::kIdleTimeout);
     read();
   }
@@ -196,6 +223,9 @@
   std::string body_;
   std::string out_;
   std::size_t header_bytes_ = 0;
+  std::list<Session*>::iterator place_;
+  bool closed_ = false;
+  bool awaiting_ = false;  ///< `place_` is among those awaited
   bool in_message_ = false;
   bool complete_ = false;
   bool too_large_ = false;
@@ -220,7 +250,7 @@
 }
 
 std::uint16_t HttpServer::port() const { return acceptor_.local_endpoint().port(); }
-std::size_t HttpServer::connections() const { return shared_->sessions.size(); }
+std::size_t HttpServer::connections() const { return shared_->open; }
 
 void HttpServer::accept() {
   acceptor_.async_accept([this, shared = shared_](asio::error_code error, asio::ip::tcp::socket socket) {
@@ -233,7 +263,11 @@
       });
       return;
     }
-    if (shared->sessions.size() < shared->limits.connections) {
+    // With no place left the newcomer takes that of whoever keeps us waiting
+    // the longest: readiness checks and users must not be shut out by idle
+    // connections or half-sent requests. Nobody is cut off before its answer.
+    if (shared->open >= shared->limits.connections && !shared->awaited.empty()) shared->awaited.front()->close();
+    if (shared->open < shared->limits.connections) {
       asio::error_code ignored;
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
       std::make_shared<Session>(std::move(socket), shared)->start();
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -21,6 +21,9 @@
   std::string body;
   int retry_after_s = 0;  ///< 0: no such header
   std::string content_type = "application/msgpack";
+  /// The client comes back as easily over a new connection: this one may be
+  /// closed after the answer when connections run short.
+  bool yields = false;
 };
 
 /// Called once, at once or any time later on the same loop.
@@ -28,8 +31,12 @@
 using Handler = std::function<void(Request, Responder)>;
 
 struct ServerLimits {
+  /// Most connections at once. A newcomer beyond them takes the place of the
+  /// one that has been waited for in vain for the longest time.
   std::size_t connections = 256;
   std::size_t body_bytes = 0;
+  /// Connections above which those that yield are closed after their answer.
+  std::size_t crowded = 256;
 };
 
 [[nodiscard]] asio::ip::tcp::endpoint parse_endpoint(std::string_view text);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -14,10 +14,12 @@
 class Loopback : public ::testing::Test {
  protected:
   Loopback()
-      : server_(io_, parse_endpoint("127.0.0.1:0"), {4, constants::kMaxBodyBytes}, [this](Request request, Responder respond) {
+      : server_(io_, parse_endpoint("127.0.0.1:0"), {4, constants::kMaxBodyBytes, 2}, [this](Request request, Responder respond) {
           seen_ = request;
           ++served_;
-          respond({200, request.body, 0});
+          Response response{200, request.body, 0};
+          response.yields = request.path == "/yields";
+          respond(std::move(response));
         }) {}
 
   /// What comes back for these bytes before the server closes or falls silent.
@@ -84,6 +86,40 @@
   EXPECT_EQ(server_.connections(), 4U);
 }
 
+/// Idle connections and half-sent requests once shut out whoever came after
+/// them, the balancer's checks included.
+TEST_F(Loopback, NobodyIsShutOutByThoseWhoSendNothing) {
+  std::vector<asio::ip::tcp::socket> sockets;
+  for (int i = 0; i < 12; ++i) {
+    sockets.emplace_back(io_);
+    sockets.back().connect({asio::ip::make_address("127.0.0.1"), server_.port()});
+    if (i % 2 == 0) asio::write(sockets.back(), asio::buffer(std::string("POST /x HTTP/1.1\r\nContent-")));
+    io_.run_for(std::chrono::milliseconds(5));
+    io_.restart();
+  }
+  EXPECT_NE(raw("GET /ready HTTP/1.1\r\n\r\n").find(" 200 "), std::string::npos);
+  EXPECT_LE(server_.connections(), 4U);
+}
+
+/// More workers than sockets: each is answered and makes room for the next.
+TEST_F(Loopback, WhoYieldsIsAnsweredAndClosedWhereConnectionsAreShort) {
+  EXPECT_EQ(raw("GET /yields HTTP/1.1\r\n\r\n").find("Connection: close"), std::string::npos) << "there is room";
+  std::vector<asio::ip::tcp::socket> sockets;
+  for (int i = 0; i < 2; ++i) {
+    sockets.emplace_back(io_);
+    sockets.back().connect({asio::ip::make_address("127.0.0.1"), server_.port()});
+  }
+  io_.run_for(std::chrono::milliseconds(20));
+  io_.restart();
+  for (int i = 0; i < 5; ++i) {
+    const auto answer = raw("GET /yields HTTP/1.1\r\n\r\n");
+    EXPECT_NE(answer.find(" 200 "), std::string::npos);
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+  }
+  EXPECT_EQ(raw("GET /stays HTTP/1.1\r\n\r\n").find("Connection: close"), std::string::npos);
+  EXPECT_EQ(server_.connections(), 2U);
+}
+
 TEST_F(Loopback, AClientIsToldWhenNothingWasSent) {
   const auto port = server_.port();
   HttpClient nobody(io_, {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port == 1 ? 2 : 1)}, 1);
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -349,6 +349,17 @@
   EXPECT_EQ(refused, 200U);
 }
 
+TEST(BadInput, TheWrongMethodIsRefused) {
+  World world(44);
+  for (const char* path : {"/v1/report", "/api/jobs", "/ready"}) {
+    std::optional<net::Response> answer;
+    world.send_to_node(0, {"DELETE", path, {}}, [&](net::Response response) { answer = std::move(response); });
+    world.run_until(world.loop.now() + 0.1);
+    ASSERT_TRUE(answer) << path;
+    EXPECT_EQ(answer->status, 405) << path;
+  }
+}
+
 /// A report with hundreds of tasks that nobody knows gets an answer of bounded
 /// size, and the machine no work while it holds them.
 TEST(BadInput, HundredsOfUnknownTasksAreAnsweredWithinBounds) {
