--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -96,6 +96,10 @@
 inline constexpr double kCareMargin = 0.5;
 /// Seconds. Oldest knowledge of cancellations a caretaker may act on.
 inline constexpr double kCareKnowledge = 5.0;
+/// Seconds. A machine that comes back within this time after it was sent away
+/// found no other controller: each of a handful costs it a time-out of 4 s and
+/// a pause of 1 s.
+inline constexpr double kTurnedAwayMemory = 40.0;
 /// Seconds. How long the leader must be heard again before the care ends.
 inline constexpr double kCareEnd = 1.5;
 
--- a/src/engine/caretaker.cpp
+++ b/src/engine/caretaker.cpp
@@ -11,20 +11,41 @@
 namespace k = constants;
 using ledger::Outcome;
 
-void Caretaker::on_report(wire::Report report, net::Responder respond) {
-  if (report.zone != settings_.zone) return respond({503, {}, 0});
-  if (entitled()) return answer(report, respond);
-  waiting_.push_back({std::move(report), std::move(respond), runtime_.now() + k::kForwardTimeout});
+void Caretaker::on_report(Waiting waiting, const View& view) {
+  if (waiting.report.zone != settings_.zone) return waiting.respond({503, {}, 0});
+  if (entitled() || may_stand_in(waiting.report.host, view)) return answer(waiting.report, waiting.respond);
+  waiting_.push_back(std::move(waiting));
   if (state_ == State::idle) begin();
 }
 
+bool Caretaker::may_stand_in(const std::string& host, const View& view) const {
+  const double now = runtime_.now();
+  if (view.leader_heard || view.state_reachable || !mirror_.loaded()) return false;
+  // As for a leader: what is known of the term and of cancellations must be
+  // recent enough, in the moment of the answer.
+  if (now - proof_.current_as_of() >= settings_.authority_s()) return false;
+  if (!view.neighbour.empty()) return true;
+  // Perhaps only this node is cut off, and its workers can do better elsewhere:
+  // one that was sent away and is back could not.
+  const auto sent = turned_away_.find(host);
+  return sent != turned_away_.end() && now > sent->second;
+}
+
+void Caretaker::turn_away(const Waiting& one, const View& view) {
+  turned_away_[one.report.host] = runtime_.now();
+  // In a zone that is cut off the others are not to be reached, and trying
+  // them takes 5 s each. With us or our neighbour it is heard when the cut ends.
+  if (!view.neighbour.empty()) one.respond({421, wire::encode_redirect(view.neighbour), 0});
+  else one.respond({503, {}, 0});
+}
+
 bool Caretaker::entitled() const {
   const double now = runtime_.now();
   return state_ == State::active && now < renewed_ + k::kCareLease * (1 - k::kDrift) - k::kCareMargin &&
          mirror_.loaded() && mirror_.revision() >= revision_ && now - proof_.current_as_of() < k::kCareKnowledge;
 }
 
-void Caretaker::answer(const wire::Report& report, const net::Responder& respond) const {
+void Caretaker::answer(const wire::Report& report, const net::Responder& respond) {
   const auto found = mirror_.hosts().find(report.host);
   // Unknown to the leader, or about to be called gone: not ours to keep.
   if (found == mirror_.hosts().end() || found->second.record.retired) return respond({503, {}, 0});
@@ -34,6 +55,7 @@
     if (job == nullptr || !job->record.cancelled || task.state == wire::TaskState::ended) continue;
     orders.push_back({wire::Verb::stop, task.job, task.index, task.attempt, 0});
   }
+  answered_at_ = runtime_.now();
   // The leader may have raised this machine's fence: a lower token than it has
   // seen would be dropped, and with it the lease.
   const bool present = report.token >> k::kTokenFenceBits == mirror_.term();
@@ -61,7 +83,6 @@
       state_ = State::active;
       renewed_ = sent;  // the lease was granted later than this
       revision_ = result.revision;
-      answer_waiting();
     }));
   }));
 }
@@ -91,24 +112,31 @@
   store_.commit(std::move(txn), [](const ledger::CommitResult&) {});
 }
 
-void Caretaker::answer_waiting() {
+void Caretaker::answer_waiting(const View& view) {
   const double now = runtime_.now();
   std::vector<Waiting> left;
   for (auto& one : waiting_) {
-    if (entitled()) answer(one.report, one.respond);
-    else if (now >= one.until) one.respond({503, {}, 0});
+    if (entitled() || may_stand_in(one.report.host, view)) answer(one.report, one.respond);
+    else if (now >= one.until) turn_away(one, view);
     else left.push_back(std::move(one));
   }
   waiting_ = std::move(left);
 }
 
-void Caretaker::tick(bool leader_heard) {
+void Caretaker::yield() {
+  if (state_ == State::active) end("this node leads");
+  state_ = State::idle;
+  ++round_;
+}
+
+void Caretaker::tick(const View& view) {
   const double now = runtime_.now();
-  answer_waiting();
+  answer_waiting(view);
+  std::erase_if(turned_away_, [&](const auto& entry) { return view.leader_heard || now - entry.second > k::kTurnedAwayMemory; });
   if (state_ != State::active) return;
-  if (!leader_heard) heard_since_ = -1;
+  if (!view.leader_heard) heard_since_ = -1;
   else if (heard_since_ < 0) heard_since_ = now;
-  if (leader_heard && now - heard_since_ >= k::kCareEnd) return end("its leader is heard again");
+  if (view.leader_heard && now - heard_since_ >= k::kCareEnd) return end("its leader is heard again");
   if (now >= next_renew_) renew();
 }
 
--- a/src/engine/caretaker.hpp
+++ b/src/engine/caretaker.hpp
@@ -3,10 +3,20 @@
 // A follower that gets reports of machines whose leader it can't hear either
 // records that it takes care of its zone, and then renews leases: it starts
 // nothing and stops only tasks of cancelled jobs. The record hangs on a state
-// lease, and reports are answered only while that lease certainly lives, so
-// whoever sees no record knows that nobody answers.
+// lease, and reports are answered under it only while that lease certainly
+// lives.
+//
+// Where the zone is cut off from the state service too, nothing can be
+// recorded. Then it stands in: it answers in the same way without a record, as
+// long as a leader may without the state service, W after its last proof that
+// its records are current, and only machines that are not recorded as retired.
+// A leader that gives a machine up reckons with that (docs/design.md, rule 6).
 #pragma once
 
+#include <map>
+#include <utility>
+#include <vector>
+
 #include "config/settings.hpp"
 #include "engine/proof.hpp"
 #include "net/http_server.hpp"
@@ -17,28 +27,48 @@
  public:
   Caretaker(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, ledger::Store& store,
             const ledger::Mirror& mirror, const Proof& proof)
-      : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), proof_(proof), scope_(queue) {}
+      : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), proof_(proof), scope_(queue), answered_at_(runtime.now()) {}
 
-  /// Answers a report of this zone, now or once the care is recorded.
-  void on_report(wire::Report report, net::Responder respond);
-  /// Renews the care, or ends it when the leader can be heard again.
-  void tick(bool leader_heard);
-  [[nodiscard]] bool active() const { return state_ != State::idle; }
-
- private:
-  enum class State : std::uint8_t { idle, starting, active };
+  /// What the node sees of the world around it.
+  struct View {
+    bool leader_heard = false;
+    bool state_reachable = false;
+    /// Neither that nor the leader, and this other controller of the zone is
+    /// heard, which does not hear the leader either: the zone is cut off.
+    std::string neighbour;
+  };
   struct Waiting {
     wire::Report report;
+    std::string body;
     net::Responder respond;
     double until = 0;
   };
 
+  /// Answers a report of this zone, now or once that is possible; past `until`
+  /// the worker is sent away.
+  void on_report(Waiting waiting, const View& view);
+  /// Reports that still wait, for whoever can answer them now.
+  [[nodiscard]] std::vector<Waiting> take_waiting() { return std::exchange(waiting_, {}); }
+  /// Renews the care, or ends it when the leader can be heard again.
+  void tick(const View& view);
+  /// This node leads now, and answers as the leader from here on.
+  void yield();
+  [[nodiscard]] bool active() const { return state_ != State::idle; }
+  /// When a report was last answered on the own account; when the process
+  /// began, at first, for nobody knows what the one before it did.
+  [[nodiscard]] double answered_at() const { return answered_at_; }
+
+ private:
+  enum class State : std::uint8_t { idle, starting, active };
+
   void begin();
   void renew();
   void end(const char* why);
-  void answer_waiting();
+  void answer_waiting(const View& view);
+  void turn_away(const Waiting& one, const View& view);
   [[nodiscard]] bool entitled() const;
-  void answer(const wire::Report& report, const net::Responder& respond) const;
+  [[nodiscard]] bool may_stand_in(const std::string& host, const View& view) const;
+  void answer(const wire::Report& report, const net::Responder& respond);
 
   const config::Settings& settings_;
   Runtime& runtime_;
@@ -53,7 +83,9 @@
   double renewed_ = -1e18;      ///< when the last successful renewal was sent
   double next_renew_ = 0;
   double heard_since_ = -1;
+  double answered_at_;
   std::vector<Waiting> waiting_;
+  std::map<std::string, double> turned_away_;  ///< machines that were, and when
 };
 
 }  // namespace elmstall::engine
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -101,6 +101,7 @@
   const double lease = settings_.lease_over_s();
   std::vector<Host*> silent;
   std::size_t heard = 0;
+  std::map<std::string, std::pair<std::size_t, std::size_t>> zones;  // silent and heard
   std::vector<Host*> deaf;
   for (auto& [id, slot] : model_.hosts()) {
     auto& host = *slot;
@@ -113,6 +114,9 @@
       if (host.tasks.empty() && host.quarantined) release(host);
       else if (host.deaf && host.quiet(now) <= settings_.silent_after_s()) deaf.push_back(&host);
       else if (host.quiet(now) > settings_.silent_after_s()) silent.push_back(&host);
+      auto& [mute, known] = zones[host.zone];
+      ++known;
+      mute += host.quiet(now) > settings_.silent_after_s();
       continue;
     }
     const auto* flavor = model_.flavor(host.type);
@@ -127,7 +131,9 @@
   }
   // One silent machine is most likely dead. When many fall silent at once it
   // is the network, and deleting them would turn a cut into a loss.
-  const bool reflex = silent.size() * 3 > heard && silent.size() > 1;
+  // A cut may also take one zone alone, however few of all machines it holds.
+  const auto cut = [](std::size_t mute, std::size_t known) { return mute * 3 > known && mute > 1; };
+  const bool cut_everywhere = cut(silent.size(), heard);
   // The same holds for machines that don't hear us.
   if (deaf.size() * 3 <= heard || deaf.size() == 1) {
     for (auto* host : deaf) {
@@ -135,6 +141,8 @@
     }
   }
   for (auto* host : silent) {
+    const auto& [mute, known] = zones[host->zone];
+    const bool reflex = cut_everywhere || cut(mute, known);
     const double quiet = host->quiet(now);
     const double lag = 2 * settings_.list_lag_s + 1;
     const bool unlisted = ever_listed_ && !host->listed && quiet > lag;
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -198,10 +198,26 @@
 void Leader::unretire(Host& host) {
   if (!host.retired || host.record == nullptr) return;
   host.retired = false;
+  host.retired_at = kNever;
   host.record->absent.clear();
   committer_.touch(*host.record);
 }
 
+bool Leader::excluded(Host& host, double now) const {
+  const auto& settings = context_.settings;
+  const double lease = settings.lease_over_s();
+  // Whoever proved its records current before the retirement was written may
+  // have stood in without a word until its authority ran out.
+  if (now >= host.retired_at + settings.authority_s() + lease) return true;
+  return std::all_of(settings.peers.begin(), settings.peers.end(), [&](const config::Peer& peer) {
+    if (!peer.zone.empty() && peer.zone != host.zone) return true;
+    // Sooner by its word: it knows of the retirement, and what it answered
+    // before that has run out.
+    const auto word = context_.word(peer.name);
+    return word.revision >= host.record->revision && now >= word.answered_at + lease;
+  });
+}
+
 void Leader::expire_hosts(double now) {
   const double lease = context_.settings.lease_over_s();
   for (auto& [id, host] : model_.hosts()) {
@@ -210,13 +226,17 @@
     // start tasks in one that was never answered: hearing counts as well.
     const double touched = std::max({host->last_answer, host->last_report, host->cared_at});
     const double alive_until = std::max(host->inherited_until, touched + lease);
-    if (alive_until == kNever || now < alive_until || host->cared || host->record == nullptr) continue;
+    if (alive_until == kNever || host->cared || host->record == nullptr) continue;
     if (!host->retired) {
-      retire(*host);
+      // Ahead of the lease's end, so that all who might answer it know by then.
+      const double silent_since = std::max(touched, started_);
+      if (now >= std::min(alive_until, silent_since + context_.settings.silent_after_s())) retire(*host);
       continue;
     }
     // Written, and the mirror has passed that point without a caretaker.
     if (!host->record->clean() || context_.mirror.revision() < host->record->revision) continue;
+    if (host->retired_at == kNever) host->retired_at = now;
+    if (now < alive_until || !excluded(*host, now)) continue;
     host_gone(*host, "its lease is over");
     host->synced = false;
   }
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -10,6 +10,12 @@
 
 namespace elmstall::engine {
 
+/// What another controller said of itself.
+struct Word {
+  std::uint64_t revision = 0;   ///< its copy of the records is at least this far
+  double answered_at = kNever;  ///< it answered no report on its own after this
+};
+
 class Leader {
  public:
   struct Context {
@@ -21,6 +27,7 @@
     fleet::Workers& workers;
     const ledger::Mirror& mirror;
     const Proof& proof;
+    std::function<Word(const std::string& peer)> word;
     std::function<void()> deposed;
   };
 
@@ -51,6 +58,8 @@
   void note_caretakers(double now);
   void expire_hosts(double now);
   void retire(Host& host);
+  /// Nobody else may be answering this machine, or did so within a lease.
+  [[nodiscard]] bool excluded(Host& host, double now) const;
   void unretire(Host& host);
   void record_host(Host& host, const ledger::Mirror::Host* stored);
   [[nodiscard]] double inherited_until() const;
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -148,6 +148,8 @@
   double cared_at = kNever;
   /// Recorded as such; its tasks are gone once that is written.
   bool retired = false;
+  /// When that was first seen to be written.
+  double retired_at = kNever;
   std::optional<double> recall_at;
   TaskSet tasks;
   sched::Amount used;      ///< by `tasks`, planned ones included
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -116,6 +116,15 @@
 
 bool Node::leader_heard() const { return leader_ || heard(known_leader_); }
 
+Caretaker::View Node::view() const {
+  Caretaker::View view{leader_heard(), state_reachable(k::kPeerSilence), {}};
+  if (view.leader_heard || view.state_reachable) return view;
+  for (const auto& peer : settings_.peers) {
+    if (peer.zone == settings_.zone && heard(peer.name) && !peers_.at(peer.name).leader_heard) view.neighbour = peer.name;
+  }
+  return view;
+}
+
 bool Node::send_home(const wire::Report& report, const net::Responder& respond) {
   // Workers report to a controller of their own zone, which passes reports on
   // to the leader. When the zone is cut off, or the leader ends, they are
@@ -138,7 +147,7 @@
 void Node::pass_on(wire::Report report, const std::string& body, net::Responder respond, double until) {
   if (caretaker_.active() || !leader_heard()) {
     if (known_leader_.empty()) return respond({503, {}, 0});
-    return caretaker_.on_report(std::move(report), std::move(respond));
+    return caretaker_.on_report({std::move(report), body, std::move(respond), until}, view());
   }
   const auto id = next_forward_++;
   forwarded_[id] = {std::move(report), body, std::move(respond), known_leader_, until};
@@ -147,6 +156,13 @@
 
 void Node::tend_forwarded() {
   const double now = runtime_.now();
+  // Those that waited for care while no leader was heard.
+  if (leader_ || (leader_heard() && !caretaker_.active())) {
+    for (auto& one : caretaker_.take_waiting()) {
+      if (leader_) leader_->on_report(std::move(one.report), std::move(one.respond));
+      else pass_on(std::move(one.report), one.body, std::move(one.respond), one.until);
+    }
+  }
   auto waiting = std::move(forwarded_);
   forwarded_.clear();
   for (auto& [id, one] : waiting) {
@@ -163,7 +179,7 @@
   }
 }
 
-bool Node::state_reachable() const { return runtime_.now() - proof_.last_success() < k::kUnreadyAfter; }
+bool Node::state_reachable(double within_s) const { return runtime_.now() - proof_.last_success() < within_s; }
 
 bool Node::ready() const {
   if (!mirror_.loaded() || flavors_.empty()) return false;
@@ -308,7 +324,13 @@
 }
 
 void Node::win() {
-  Leader::Context context{settings_, runtime_, queue_, store_, cloud_, workers_, mirror_, proof_, [this] { lose("the term is over"); }};
+  Leader::Context context{settings_, runtime_, queue_, store_, cloud_, workers_, mirror_, proof_,
+                          [this](const std::string& peer) {
+                            const auto found = peers_.find(peer);
+                            return found == peers_.end() ? Word{} : found->second.word;
+                          },
+                          [this] { lose("the term is over"); }};
+  caretaker_.yield();
   leader_ = std::make_unique<Leader>(context, mirror_.term(), mirror_.term_stamp(), stood_at_);
   known_term_ = mirror_.term();
   known_leader_ = settings_.node;
@@ -353,13 +375,19 @@
 
 void Node::beat() {
   next_beat_ = runtime_.now() + k::kBeatEvery;
-  mesh_->broadcast(mesh::Beat{settings_.node, known_term_, known_leader_, state_reachable()});
+  told_leader_heard_ = leader_heard();
+  mesh_->broadcast(mesh::Beat{settings_.node, known_term_, known_leader_, state_reachable(), told_leader_heard_,
+                              mirror_.loaded() ? mirror_.revision() : 0, runtime_.now() - caretaker_.answered_at()});
 }
 
 void Node::on_beat(const mesh::Beat& news) {
   auto& peer = peers_[news.node];
   peer.heard = runtime_.now();
   peer.state_reachable = news.state_reachable;
+  peer.leader_heard = news.leader_heard;
+  // However late this comes, what was answered was answered before it was sent.
+  peer.word.revision = std::max(peer.word.revision, news.revision);
+  peer.word.answered_at = std::max(peer.word.answered_at, runtime_.now() - news.answered_ago_s * (1 - k::kDrift));
   learn_term(news.term, news.leader);
 }
 
@@ -376,12 +404,12 @@
   std::erase_if(redirects_, [&](const auto& entry) { return now - entry.second.at > k::kRedirectMemory; });
   tend_forwarded();
   elect();
-  caretaker_.tick(leader_heard());
+  caretaker_.tick(view());
   if (leader_) {
     if (now >= next_renew_) renew();
     if (leader_) leader_->tick();
   }
-  if (now >= next_beat_) beat();
+  if (now >= next_beat_ || told_leader_heard_ != leader_heard()) beat();
 }
 
 void Node::after_batch() {
--- a/src/engine/node.hpp
+++ b/src/engine/node.hpp
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "config/constants.hpp"
 #include "engine/caretaker.hpp"
 #include "engine/gateway.hpp"
 #include "engine/leader.hpp"
@@ -35,6 +36,8 @@
   struct Peer {
     double heard = -1e18;
     bool state_reachable = true;
+    bool leader_heard = true;
+    Word word;
   };
   struct Forwarded {
     wire::Report report;
@@ -56,6 +59,7 @@
   void tend_forwarded();
   [[nodiscard]] bool heard(const std::string& peer) const;
   [[nodiscard]] bool leader_heard() const;
+  [[nodiscard]] Caretaker::View view() const;
   void tick();
   void after_batch();
 
@@ -80,7 +84,8 @@
   // mesh
   void beat();
   void on_beat(const mesh::Beat& beat);
-  [[nodiscard]] bool state_reachable() const;
+  /// The state service answered within this many seconds.
+  [[nodiscard]] bool state_reachable(double within_s = constants::kUnreadyAfter) const;
 
   const config::Settings& settings_;
   Runtime& runtime_;
@@ -108,6 +113,7 @@
   double stood_at_ = 0;  ///< when the request for leadership was sent
   double next_renew_ = 0;
   double next_beat_ = 0;
+  bool told_leader_heard_ = true;  ///< in the last beat
   double next_probe_ = 0;
   std::map<std::string, Peer> peers_;
   std::map<std::uint64_t, Forwarded> forwarded_;
--- a/src/mesh/messages.hpp
+++ b/src/mesh/messages.hpp
@@ -17,8 +17,15 @@
   std::uint64_t term = 0;      ///< highest term known
   std::string leader;          ///< who holds it, if known
   bool state_reachable = false;
+  bool leader_heard = false;
+  /// How far its copy of the records is, 0 while it is not whole. What the
+  /// records forbid at that point it never does later.
+  std::uint64_t revision = 0;
+  /// Seconds since it last answered a report on its own, at most since its
+  /// process began.
+  double answered_ago_s = 0;
   template <class Archive>
-  void serialize(Archive& archive) { archive(node, term, leader, state_reachable); }
+  void serialize(Archive& archive) { archive(node, term, leader, state_reachable, leader_heard, revision, answered_ago_s); }
 };
 
 /// A worker's report that reached a node the worker can't leave for the
--- a/tests/chaos_test.cpp
+++ b/tests/chaos_test.cpp
@@ -50,7 +50,28 @@
     if (world.workers.empty()) return nullptr;
     return std::next(world.workers.begin(), static_cast<std::ptrdiff_t>(world.pick(world.workers.size())))->second.get();
   };
-  switch (world.pick(16)) {
+  switch (world.pick(20)) {
+    case 16: {  // a zone without anything outside it
+      const auto zone = world.settings.zones[world.pick(2)];
+      world.cut_zone(zone, true);
+      if (world.random() < 0.3) later(1 + world.random() * 5, [&world, node] { world.crash(node, 0.1 + world.random() * 5); });
+      later(length * 2, [&world, zone] { world.cut_zone(zone, false); });
+      break;
+    }
+    case 17:  // many machines die at once, on a cloud that notices late or not
+      for (auto& [id, worker] : world.workers) {
+        if (world.random() < 0.3) worker->die();
+      }
+      break;
+    case 18:
+      for (auto& [id, worker] : world.workers) {
+        if (!worker->dead() && world.random() < 0.4) worker->hang(1 + world.random() * 20);
+      }
+      break;
+    case 19:
+      world.freeze(node, length);
+      if (world.random() < 0.3) world.freeze((node + 1) % 3, length * world.random());
+      break;
     case 11:  // back at once, and again in the middle of the election that follows
       for (std::size_t i = 0; i < 3; ++i) world.crash(i, 0.05 + world.random() * 0.4);
       later(0.1 + world.random() * 0.6, [&world, node] { world.crash(node, 0.05); });
@@ -131,7 +152,7 @@
 class Chaos : public ::testing::TestWithParam<unsigned> {};
 
 TEST_P(Chaos, TheRulesHold) {
-  World world(GetParam());
+  World world(GetParam(), 3 + GetParam() % 2);
   world.loss = 0.02;
   // Every third history has a larger fleet.
   if (GetParam() % 3 == 0) world.cloud.capacity = 60;
--- a/tests/support/virtual_time.hpp
+++ b/tests/support/virtual_time.hpp
@@ -37,15 +37,20 @@
   [[nodiscard]] double wall() const override { return 1.7e9 + loop_.now(); }
   [[nodiscard]] double random() override { return std::uniform_real_distribution<double>(0, 1)(random_); }
   void after(double seconds, std::function<void()> fn) override {
-    loop_.after(seconds, [alive = std::weak_ptr<char>(alive_), fn = std::move(fn)] {
-      if (!alive.expired()) fn();
+    loop_.after(seconds, [this, alive = std::weak_ptr<char>(alive_), fn = std::move(fn)]() mutable {
+      if (alive.expired()) return;
+      // Clocks run on while the process stands still; what piled up comes after.
+      if (loop_.now() < frozen_until_) return after(frozen_until_ - loop_.now(), std::move(fn));
+      fn();
     });
   }
+  void freeze(double seconds) { frozen_until_ = loop_.now() + seconds; }
   void defer(std::function<void()> fn) override { after(0.0002, std::move(fn)); }
 
  private:
   VirtualLoop& loop_;
   std::mt19937 random_;
+  double frozen_until_ = -1;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -26,24 +26,40 @@
 
 void FakeWorker::next_report(double delay) {
   world_.loop.after(delay, [this, round = ++round_] {
+    if (later([this, round] { if (round == round_) next_report(0); })) return;
     if (!dead_ && round == round_ && !in_flight_) report();
   });
 }
 
+void FakeWorker::hang(double seconds) {
+  hung_until_ = world_.loop.now() + seconds;
+}
+
+bool FakeWorker::hung() const { return world_.loop.now() < hung_until_; }
+
+bool FakeWorker::later(std::function<void()> fn) {
+  if (!hung()) return false;
+  world_.loop.at(hung_until_, std::move(fn));
+  return true;
+}
+
 void FakeWorker::changed() {
   if (!in_flight_) next_report(std::max(0.0, last_report_ + 0.5 - world_.loop.now()));
 }
 
 void FakeWorker::check_lease() {
   if (dead_) return;
-  if (world_.loop.now() - lease_from_ > world_.settings.lease_s) {
-    forget_all();
-    ++session_;
-    lease_from_ = world_.loop.now();
-  }
+  expire();  // a hanging machine's tasks end with its lease, too
   world_.loop.after(0.1, [this] { check_lease(); });
 }
 
+void FakeWorker::expire() {
+  if (world_.loop.now() - lease_from_ <= world_.settings.lease_s) return;
+  forget_all();
+  ++session_;
+  lease_from_ = world_.loop.now();
+}
+
 void FakeWorker::forget_all() {
   for (const auto& [name, task] : tasks_) world_.rules.off_machine(name.first, name.second, id_);
   tasks_.clear();
@@ -76,7 +92,7 @@
   const auto tick = sent_tick_ = tick_;
   world_.loop.after(4.0, [this, tick, node] {
     if (dead_ || !in_flight_ || tick != sent_tick_) return;
-    in_flight_ = false;
+    in_flight_ = false;  // a hanging machine finds out when it goes on
     node_ = (node + 1) % world_.node_count();
     next_report(1.0);
   });
@@ -102,7 +118,7 @@
 }
 
 void FakeWorker::answered(std::uint64_t tick, double sent, std::size_t node, const net::Response& response) {
-  if (dead_ || !in_flight_ || tick != sent_tick_) return;
+  if (dead_ || hung() || !in_flight_ || tick != sent_tick_) return;
   in_flight_ = false;
   if (response.status == 421) {
     const auto document = wire::Document::parse(response.body);
@@ -173,6 +189,7 @@
 }
 
 void FakeWorker::running(const Name& name, std::uint64_t serial) {
+  if (later([this, name, serial] { running(name, serial); })) return;
   const auto found = tasks_.find(name);
   if (dead_ || found == tasks_.end() || found->second.serial != serial || found->second.state != TaskState::fetching) return;
   found->second.state = TaskState::running;
@@ -181,12 +198,16 @@
   const auto* spec = world_.spec(name.first);
   const bool fails = world_.random() < fail_share;
   if (spec->kind == wire::JobKind::service && !fails) return;
-  world_.loop.after(spec->expect_s * (0.6 + 0.8 * world_.random()), [this, name, serial, fails] {
-    const auto task = tasks_.find(name);
-    if (dead_ || task == tasks_.end() || task->second.serial != serial || task->second.state == TaskState::ended) return;
-    if (!fails) world_.rules.completed(name.first, name.second);
-    end(name, fails ? EndCause::error : EndCause::done, false);
-  });
+  const double takes = spec->expect_s * (0.6 + 0.8 * world_.random());
+  world_.loop.after(takes, [this, name, serial, fails] { finish(name, serial, fails); });
+}
+
+void FakeWorker::finish(const Name& name, std::uint64_t serial, bool fails) {
+  if (later([this, name, serial, fails] { finish(name, serial, fails); })) return;
+  const auto task = tasks_.find(name);
+  if (dead_ || task == tasks_.end() || task->second.serial != serial || task->second.state == TaskState::ended) return;
+  if (!fails) world_.rules.completed(name.first, name.second);
+  end(name, fails ? EndCause::error : EndCause::done, false);
 }
 
 void FakeWorker::end(const Name& name, EndCause cause, bool saved) {
@@ -210,6 +231,11 @@
     return worker->direct(token, session, orders);
   };
   const bool lost = worker->cut || worker->deaf || world_.workers_cut(node_) || !world_.reachable(node_, worker->zone()) || world_.random() < world_.loss;
+  if (worker->hung()) {
+    // Taken by its network, read when it goes on.
+    world_.loop.at(worker->hung_until() + 0.001, [carry_out] { (void)carry_out(); });
+    return give_up(Outcome::unknown);
+  }
   if (lost) {
     if (world_.random() < 0.4) return give_up(Outcome::never);
     // Held on the way, and executed whenever the way is free again.
@@ -371,7 +397,18 @@
   loop.after(back_after, [this, node] { boot(node); });
 }
 
-bool World::reachable(std::size_t node, const std::string& zone) const { return nodes_.empty() || !zones_apart_ || nodes_[node].settings.zone == zone; }
+bool World::reachable(std::size_t node, const std::string& zone) const {
+  if (nodes_.empty() || nodes_[node].settings.zone == zone) return true;
+  return !zones_apart_ && !zones_cut_.contains(zone) && !zones_cut_.contains(nodes_[node].settings.zone);
+}
+
+void World::cut_zone(const std::string& zone, bool cut) {
+  if (cut) zones_cut_.insert(zone);
+  else zones_cut_.erase(zone);
+  for (auto& process : nodes_) {
+    if (process.settings.zone == zone) process.store->road.refused = cut;
+  }
+}
 
 void World::state_down(bool down) {
   if (state.down && !down) {
@@ -416,7 +453,7 @@
     if (std::exchange(*open, false)) done(std::move(response));
   };
   loop.after(limit, [finish] { finish(std::nullopt); });
-  if (!nodes_[node].node) return;
+  if (!nodes_[node].node || zones_cut_.contains(nodes_[node].settings.zone)) return;
   loop.after(0.002, [=, this, body = std::move(body)] {
     if (!nodes_[node].node) return;
     nodes_[node].node->on_request({method, path, body}, [this, finish](const net::Response& response) {
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "engine/node.hpp"
 #include "support/fake_state.hpp"
@@ -26,6 +27,10 @@
   [[nodiscard]] bool spot() const { return spot_; }
   /// Straight to this worker, whenever it arrives.
   fleet::OrdersResult direct(std::uint64_t token, std::uint64_t session, const std::vector<wire::Order>& orders);
+  /// Stands still with all its tasks, and goes on later.
+  void hang(double seconds);
+  [[nodiscard]] bool hung() const;
+  [[nodiscard]] double hung_until() const { return hung_until_; }
   bool cut = false;  ///< from every node
   bool deaf = false; ///< its reports arrive, but neither answers nor commands reach it
   double copies = 0; ///< share of its reports of which a copy comes late
@@ -48,8 +53,12 @@
   void execute(const wire::Order& order);
   void run(const Name& name, std::uint64_t attempt);
   void running(const Name& name, std::uint64_t serial);
+  void finish(const Name& name, std::uint64_t serial, bool fails);
   void end(const Name& name, wire::EndCause cause, bool saved);
   void check_lease();
+  void expire();
+  /// True while it hangs; `fn` then follows once it goes on.
+  bool later(std::function<void()> fn);
   void forget_all();
   void changed();
   void next_report(double delay);
@@ -61,6 +70,7 @@
   std::uint64_t session_ = 1, tick_ = 0, token_ = 0, serial_ = 0, round_ = 0;
   std::uint64_t sent_tick_ = 0, sent_session_ = 0;  ///< of the report in flight
   double lease_from_ = 0;
+  double hung_until_ = -1;
   double last_report_ = -10;
   bool in_flight_ = false;
   std::size_t node_ = 0;
@@ -106,6 +116,9 @@
   void crash(std::size_t node, double back_after);
   /// Cuts what crosses between two zones; messages are lost.
   void part_zones(bool apart) { zones_apart_ = apart; }
+  /// Cuts a zone off from everything outside it, the state service too.
+  void cut_zone(const std::string& zone, bool cut);
+  void freeze(std::size_t node, double seconds) { nodes_[node].runtime->freeze(seconds); }
   void cut_mesh(std::size_t node, bool cut) { mesh_cut_[node] = cut; }
   void cut_workers(std::size_t node, bool cut) { worker_cut_[node] = cut; }
   void state_down(bool down);
@@ -171,6 +184,7 @@
   std::vector<std::unique_ptr<FakeStore>> old_stores_;
   std::map<std::size_t, bool> mesh_cut_, worker_cut_;
   bool zones_apart_ = false;
+  std::set<std::string> zones_cut_;
   std::map<std::string, wire::JobSpec> specs_;
   std::map<std::string, wire::JobState> told_;
   std::map<std::string, double> answered_;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -233,6 +233,143 @@
   expect_rules(world);
 }
 
+// --- zones cut off from everything --------------------------------------------------------
+
+/// Four controllers, two of them in each zone, with half of a job in the south;
+/// the leader is in the north.
+void start_in_both_zones(World& world) {
+  world.cloud.capacity = 30;
+  auto north = array(1, 4, 3000);
+  north.zone = "north";
+  world.submit(north);
+  auto south = array(2, 4, 3000);
+  south.zone = "south";
+  world.submit(south);
+  world.run_until(45);
+  for (int i = 0; i < 8 && leader_index(world) % 2 == 1; ++i) {
+    world.crash(leader_index(world), 6);
+    world.run_until(world.loop.now() + 8);
+  }
+  ASSERT_EQ(leader_index(world) % 2, 0U);
+  ASSERT_EQ(placed(world, "job-1"), 4U);
+  ASSERT_EQ(placed(world, "job-2"), 4U);
+}
+
+/// A zone that is cut off from the state service too can record no care. Its
+/// controllers stand in for W, and its tasks outlive the cut.
+TEST(ZoneCut, TasksOutliveWhatAuthorityAndLeaseCover) {
+  World world(45, 4);
+  start_in_both_zones(world);
+  const auto starts = world.rules.starts();
+  const double at = world.loop.now();
+  world.cut_zone("south", true);
+  world.run_until(at + 30);  // W is 25 s, the lease 10 s
+  EXPECT_EQ(placed(world, "job-2"), 4U) << "not given up";
+  world.cut_zone("south", false);
+  world.run_until(at + 60);
+  EXPECT_EQ(placed(world, "job-2"), 4U);
+  EXPECT_EQ(world.rules.starts(), starts) << "nothing had to be started again";
+  expect_rules(world);
+}
+
+/// A longer one ends them; they are started again only when that is certain,
+/// whenever the cut ends, and whatever the machines and the controllers inside
+/// did meanwhile.
+TEST(ZoneCut, WhatIsGivenUpRunsNowhere) {
+  for (int length = 24; length < 90; length += 6) {
+    World world(700 + static_cast<unsigned>(length), 4);
+    start_in_both_zones(world);
+    auto anywhere = array(3, 6, 3000);  // may run in either zone
+    world.submit(anywhere);
+    world.run_until(world.loop.now() + 30);
+    const double at = world.loop.now();
+    world.cut_zone("south", true);
+    world.run_until(at + 10);
+    if (length % 4 == 0) world.crash(1, 0.2);
+    if (length % 12 == 0) world.cancel("job-3");
+    world.run_until(at + length);
+    world.cut_zone("south", false);
+    world.run_until(at + 130);
+    EXPECT_EQ(placed(world, "job-2"), 4U) << length;
+    EXPECT_EQ(placed(world, "job-3"), length % 12 == 0 ? 0U : 6U) << length;
+    ASSERT_TRUE(world.rules.broken().empty()) << length << ": " << world.rules.broken().front();
+  }
+}
+
+/// Machines that died are given up at the end of their lease though all
+/// controllers of their zone are there to have answered them.
+TEST(ZoneCut, ADeadMachineWaitsForNoAuthority) {
+  World world(46, 4);
+  start_in_both_zones(world);
+  world.cloud.down = true;
+  auto* dead = worker_of(world, "job-2");
+  ASSERT_NE(dead, nullptr);
+  dead->die();
+  world.run_until(world.loop.now() + 13.5);  // its lease is 10 s, a beat 0.8 s
+  EXPECT_TRUE(world.leader()->leader()->model().find_host(dead->id())->tasks.empty());
+  expect_rules(world);
+}
+
+// --- machines that hang, controllers that stand still ----------------------------------------
+
+/// With orders held for them, for less and for more than their lease.
+TEST(HungMachine, GoesOnAndRunsNothingTwice) {
+  for (int length = 2; length < 32; length += 2) {
+    World world(800 + static_cast<unsigned>(length));
+    world.cloud.capacity = 16;
+    world.submit(array(1, 8, 12));
+    world.submit(array(2, 6, 25));
+    world.run_until(18);
+    for (auto& [id, worker] : world.workers) {
+      if (world.random() < 0.6) worker->hang(length);
+    }
+    world.submit(array(3, 10, 10));
+    world.run_until(20);
+    world.cancel("job-2");
+    world.run_until(160);
+    for (const char* id : {"job-1", "job-2", "job-3"}) world.poll(id);
+    world.run_until(163);
+    EXPECT_EQ(world.last_told("job-1"), JobState::done) << length;
+    EXPECT_EQ(world.last_told("job-2"), JobState::cancelled) << length;
+    EXPECT_EQ(world.last_told("job-3"), JobState::done) << length;
+    ASSERT_TRUE(world.rules.broken().empty()) << length << ": " << world.rules.broken().front();
+  }
+}
+
+/// Leader, caretaker and follower stand still for longer than each of their
+/// leases while their clocks run on, and wake with old thoughts.
+TEST(FrozenController, DoesNothingOnWakingThatItsAuthorityNoLongerCovers) {
+  for (int length = 2; length < 60; length += 4) {
+    for (std::size_t role = 0; role < 3; ++role) {
+      World world(900 + static_cast<unsigned>(length) + static_cast<unsigned>(role));
+      world.cloud.capacity = 16;
+      world.submit(array(1, 8, 15));
+      world.submit(array(2, 6, 2000));
+      world.run_until(25);
+      const auto lead = leader_index(world);
+      const auto node = role == 0 ? lead : 1;
+      if (role == 1) {  // in care of the south
+        world.cut_mesh(1, true);
+        world.run_until(32);
+      }
+      world.submit(array(3, 6, 10));
+      world.run_until(world.loop.now() + 0.03);  // some of it is under way
+      world.freeze(node, length);
+      world.run_until(world.loop.now() + 1);
+      world.cancel("job-2");
+      world.run_until(world.loop.now() + length);
+      world.cut_mesh(1, false);
+      world.run_until(200);
+      for (const char* id : {"job-1", "job-2", "job-3"}) world.poll(id);
+      world.run_until(203);
+      EXPECT_EQ(world.last_told("job-1"), JobState::done) << length << " " << role;
+      EXPECT_EQ(world.last_told("job-2"), JobState::cancelled) << length << " " << role;
+      EXPECT_EQ(world.last_told("job-3"), JobState::done) << length << " " << role;
+      ASSERT_TRUE(world.rules.broken().empty()) << length << " " << role << ": " << world.rules.broken().front();
+    }
+  }
+}
+
 // --- a controller apart ------------------------------------------------------------------
 
 /// Without the state service and the other controllers, but with its workers:
