--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -65,8 +65,10 @@
 inline constexpr double kRenewEvery = 0.8;
 /// Seconds. Spread of the moment at which followers stand for leadership.
 inline constexpr double kElectionJitter = 0.1;
-/// Seconds. Rounding, scheduling delay and reply limit taken off W.
-inline constexpr double kAuthorityMargin = 5.0;
+/// Seconds. Taken off W for timer steps and the time it takes to kill a task.
+/// Not for the way of an answer: a lease counts from the sending of the report,
+/// which lies before the moment of the answer, however late that arrives.
+inline constexpr double kAuthorityMargin = 1.5;
 /// Ratio. Steady clocks drift apart by at most 0.05%; doubled here.
 inline constexpr double kDrift = 0.001;
 /// Seconds. Added to any wait for a lease to run out, for timer steps.
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -228,6 +228,7 @@
   // is no use to work that may only run in another.
   const sched::Amount whole{flavor.cpus, flavor.gpus, flavor.memory_gb};
   wanted_zones_.clear();
+  stranded_ = 0;
   for (const auto& [zone, bound] : bound_to_zones(flavor, now)) {
     wanted_zones_.insert(zone);
     double there = 0;
@@ -242,6 +243,7 @@
     if (missing <= 0) continue;
     const auto pool = std::find_if(pools.begin(), pools.end(), [&, z = &zone, b = &bound](const sched::Pool& one) { return one.zone == *z && !one.blocked && (b->spot || !one.spot); });
     if (pool != pools.end()) rent({pool->type, pool->zone, pool->spot}, missing);
+    else stranded_ += missing;
   }
 }
 
@@ -314,8 +316,11 @@
     }
     if (host->idle_since == kNever) host->idle_since = now;
     int& left = host->spot ? spare.spot : spare.ordinary;
-    if (left <= 0 || wanted_zones_.contains(host->zone) || now - host->idle_since < keep) continue;
-    --left;
+    // What waits for another zone does not keep this one: the cloud may have
+    // had to take from there what stands idle here.
+    int& reason = left > 0 ? left : stranded_;
+    if (reason <= 0 || wanted_zones_.contains(host->zone) || now - host->idle_since < keep) continue;
+    --reason;
     spdlog::info("host {} idle, returning it", host->id);
     release(*host);
   }
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -70,6 +70,7 @@
   std::uint64_t next_request_ = 1;
   double started_ = 0;
   double next_plan_ = kNever;
+  int stranded_ = 0;  ///< machines that work bound to a zone lacks and can't get there
   std::set<std::string> wanted_zones_;  ///< work bound to them waits: nothing is returned there
   double allowance_ = 0;  ///< requests that may be sent now
   double next_list_ = kNever;
