--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -230,7 +230,7 @@
   wanted_zones_.clear();
   stranded_ = 0;
   for (const auto& [zone, bound] : bound_to_zones(flavor, now)) {
-    wanted_zones_.insert(zone);
+    wanted_zones_[zone] = bound.spot;
     double there = 0;
     for (const auto& pool : pools) {
       if (pool.zone == zone) there += pool.booting;
@@ -319,7 +319,9 @@
     // What waits for another zone does not keep this one: the cloud may have
     // had to take from there what stands idle here.
     int& reason = left > 0 ? left : stranded_;
-    if (reason <= 0 || wanted_zones_.contains(host->zone) || now - host->idle_since < keep) continue;
+    const auto wanted = wanted_zones_.find(host->zone);
+    const bool kept = wanted != wanted_zones_.end() && (wanted->second || !host->spot);
+    if (reason <= 0 || kept || now - host->idle_since < keep) continue;
     --reason;
     spdlog::info("host {} idle, returning it", host->id);
     release(*host);
