A zone cut off from everything: its controllers stand in for W; one zone's silence is no death

Now every controller of the zone answers for W without a record, and a leader that gives a machine up excludes that: by their word, or by time (docs/design.md, rules 5 and 6). With the exclusion taken out, tests show tasks running twice.

--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -272,6 +272,38 @@
   expect_rules(world);
 }
 
+/// The only controller of its zone can't tell whether the zone is cut off or
+/// only itself: a worker that was sent away and is back found no other.
+TEST(ZoneCut, ALoneControllerAnswersWhoComesBack) {
+  World world(47);
+  world.cloud.capacity = 20;
+  auto south = array(1, 2, 3000);
+  south.zone = "south";
+  world.submit(south);
+  world.run_until(45);
+  if (leader_index(world) == 1) {
+    world.crash(1, 6);
+    world.run_until(55);
+  }
+  auto* worker = worker_of(world, "job-1");
+  ASSERT_NE(worker, nullptr);
+  const wire::Report report{worker->id(), worker->id(), "m12", "south", worker->spot(), 1, 1, world.leader()->leader()->token(), std::nullopt, {}};
+  worker->cut = true;  // we speak for it
+  world.cut_zone("south", true);
+  world.run_until(world.loop.now() + 5);
+  const auto ask = [&](double patience) {
+    std::optional<net::Response> answer;
+    world.send_to_node(1, {"POST", "/v1/report", wire::encode_report(report)}, [&](net::Response response) { answer = std::move(response); });
+    world.run_until(world.loop.now() + patience);
+    return answer ? answer->status : 0;
+  };
+  EXPECT_EQ(ask(4), 503);
+  EXPECT_EQ(ask(0.1), 200);
+  world.run_until(world.loop.now() + 25);
+  EXPECT_NE(ask(4), 200) << "its authority is over";
+  expect_rules(world);
+}
+
 /// A longer one ends them; they are started again only when that is certain,
 /// whenever the cut ends, and whatever the machines and the controllers inside
 /// did meanwhile.
