A node that stood still answers no poll with what it knew before; bad mesh messages leave a log line

Found by a new test: a poll under way when its node stood still was answered on waking with the state of before, for a proof past its deadline still counted. Also: the unused flag of stray tasks and an unused capture are gone; decisions are bounded at 600 machines too.

--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -360,7 +360,7 @@
       host.exited.push_back(name);
       return;
     }
-    host.stray.emplace_back(name, false);
+    host.stray.push_back(name);
     if (job != nullptr) host.strangers += job->need;
     else host.foreign = true;
     return;
@@ -458,7 +458,7 @@
 
 std::vector<wire::Order> Leader::orders_for(Host& host) {
   std::vector<wire::Order> orders;
-  for (const auto& [name, unused] : host.stray) {
+  for (const auto& name : host.stray) {
     if (orders.size() >= k::kMaxOrders) break;
     orders.push_back({wire::Verb::stop, name.job, name.index, name.attempt, 0});
   }
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -156,7 +156,7 @@
   sched::Amount strangers; ///< by reported tasks that are not ours to count
   bool foreign = false;    ///< reports tasks unknown to us
   std::vector<Exited> exited;
-  std::vector<std::pair<Exited, bool>> stray;  ///< tasks to stop (false) there
+  std::vector<Exited> stray;  ///< running tasks that are not there by our will
   std::deque<std::uint32_t> images;  ///< believed to be cached, latest last
   bool touched = false;              ///< the planner has to look at it again
   std::set<std::string> failed_jobs;
--- a/src/engine/proof.cpp
+++ b/src/engine/proof.cpp
@@ -41,7 +41,9 @@
   for (auto& one : ready) {
     const bool current = mirror_.loaded() && mirror_.revision() >= one.revision;
     if (current) current_as_of_ = std::max(current_as_of_, one.asked);
-    one.waiter(current);
+    // Past its deadline nobody waits any more; a process that stood still must
+    // not answer with what was current before.
+    one.waiter(current && now < one.deadline);
   }
 }
 
--- a/src/mesh/tcp_mesh.cpp
+++ b/src/mesh/tcp_mesh.cpp
@@ -1,5 +1,7 @@
 #include "mesh/tcp_mesh.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <array>
 #include <deque>
 
@@ -118,7 +120,7 @@
     asio::async_read(socket_, asio::buffer(head_), [self = shared_from_this()](asio::error_code error, std::size_t) {
       if (error) return;
       const auto size = frame_size(self->head_);
-      if (size > constants::kMaxMeshBytes) return;
+      if (size > constants::kMaxMeshBytes) return self->refuse("it is too large");
       self->body_.resize(size);
       self->read_body();
     });
@@ -135,13 +137,20 @@
       if (error) return;
       try {
         self->shared_->receiver(decode(self->body_));
-      } catch (const std::exception&) {
-        return;  // not one of ours: the connection ends with this object
+      } catch (const std::exception& problem) {
+        return self->refuse(problem.what());
       }
       self->read();
     });
   }
 
+  /// Not one of ours: the connection ends with this object.
+  void refuse(const char* why) {
+    asio::error_code unknown;
+    const auto peer = socket_.remote_endpoint(unknown);
+    spdlog::error("a message between controllers from {} can't be read: {}", unknown ? "an unknown address" : peer.address().to_string(), why);
+  }
+
   asio::ip::tcp::socket socket_;
   std::shared_ptr<Shared> shared_;
   std::array<unsigned char, 4> head_{};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -140,7 +140,7 @@
     timer_.cancel();
     Request request{http_method_str(static_cast<http_method>(parser_.method)), std::move(path_), std::move(body_)};
     auto answered = std::make_shared<bool>(false);
-    shared_->handler(std::move(request), [weak = weak_from_this(), answered, self = shared_from_this()](Response response) {
+    shared_->handler(std::move(request), [answered, self = shared_from_this()](Response response) {
       if (*answered) return;
       *answered = true;
       self->send(std::move(response));
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -402,6 +402,26 @@
   }
 }
 
+/// A poll that was under way when its node stood still is not answered on
+/// waking with what was true before.
+TEST(FrozenController, AnswersNobodyWithWhatItKnewBefore) {
+  World world(48);
+  world.submit(array(1, 1, 3));
+  world.run_until(5);
+  for (const double delay : {0.0003, 0.002, 0.004, 0.006, 0.02}) {
+    std::optional<net::Response> answer;
+    world.send_to_node(0, {"GET", "/api/jobs/job-1", {}}, [&](net::Response response) { answer = std::move(response); });
+    world.run_until(world.loop.now() + delay);
+    const bool before = answer.has_value();
+    world.freeze(0, 20);
+    world.run_until(world.loop.now() + 25);
+    ASSERT_TRUE(answer) << delay;
+    if (before || answer->status != 200) continue;
+    EXPECT_EQ(wire::decode_status(wire::Document::parse(answer->body).root()).state, JobState::done) << delay << ": it was over long ago";
+  }
+  expect_rules(world);
+}
+
 // --- a controller apart ------------------------------------------------------------------
 
 /// Without the state service and the other controllers, but with its workers:
@@ -593,7 +613,7 @@
 /// busy fleet of whatever size a machine is looked at when it reports and once
 /// a second, hardly more.
 TEST(Planner, DecisionsLookAtWhatChangedNotAtTheFleet) {
-  for (const int machines : {10, 80}) {
+  for (const int machines : {10, 80, 600}) {
     World world(39);
     world.cloud.capacity = machines;
     world.submit(array(1, static_cast<std::uint32_t>(machines) * 2, 2000));
