--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -120,6 +120,10 @@
 inline constexpr double kWatchPauseFollower = 0.1;
 /// Seconds. Pause after the state service did not serve a request.
 inline constexpr double kStateRetry = 0.3;
+/// Share of the state service's requests that proofs of currency of all nodes
+/// together may take: one proof serves every poll that waits, and the rest is
+/// for commits, watches and lease renewals.
+inline constexpr double kProofShare = 0.3;
 /// Seconds. A node proves at least this often that it reaches the state service.
 inline constexpr double kProbeEvery = 1.0;
 /// Seconds. Without the state service for this long a node calls itself
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -20,7 +20,7 @@
       incarnation_(std::move(incarnation)),
       queue_(ports.runtime, [this] { after_batch(); }),
       scope_(queue_),
-      proof_(ports.runtime, queue_, ports.store, mirror_),
+      proof_(ports.runtime, queue_, ports.store, mirror_, static_cast<double>(settings.peers.size() + 1) / (k::kProofShare * settings.state_rps)),
       gateway_(settings, ports.runtime, queue_, ports.store, mirror_, proof_),
       caretaker_(settings, ports.runtime, queue_, ports.store, mirror_, proof_) {}
 
--- a/src/engine/proof.cpp
+++ b/src/engine/proof.cpp
@@ -1,6 +1,7 @@
 #include "engine/proof.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace elmstall::engine {
 
@@ -10,6 +11,18 @@
 }
 
 void Proof::probe() {
+  // Polls follow each other without a pause; a request for each of them would
+  // take the state service's rate from the commits that all wait for.
+  const double now = runtime_.now();
+  if (now < next_probe_) {
+    if (std::exchange(woken_, true)) return;
+    runtime_.after(next_probe_ - now, scope_.wrap([this] {
+      woken_ = false;
+      if (!probing_ && !next_.empty()) probe();
+    }));
+    return;
+  }
+  next_probe_ = now + gap_;
   probing_ = true;
   std::vector<Waiting> covered;
   covered.swap(next_);
--- a/src/engine/proof.hpp
+++ b/src/engine/proof.hpp
@@ -16,8 +16,9 @@
  public:
   using Waiter = std::function<void(bool current)>;
 
-  Proof(Runtime& runtime, CommandQueue& queue, ledger::Store& store, const ledger::Mirror& mirror)
-      : runtime_(runtime), store_(store), mirror_(mirror), scope_(queue) {}
+  /// `gap`: seconds between two requests, which serve all who came meanwhile.
+  Proof(Runtime& runtime, CommandQueue& queue, ledger::Store& store, const ledger::Mirror& mirror, double gap)
+      : runtime_(runtime), store_(store), mirror_(mirror), scope_(queue), gap_(gap) {}
 
   /// Calls back with true once the mirror holds all that was committed
   /// before this call, or with false when that can't be shown in time.
@@ -44,6 +45,9 @@
   CommandScope scope_;
   std::vector<Waiting> next_;     ///< wait for a probe to be sent
   std::vector<Waiting> waiting_;  ///< know their revision
+  double gap_;
+  double next_probe_ = -1e18;
+  bool woken_ = false;
   bool probing_ = false;
   double last_success_ = -1e18;
   double current_as_of_ = -1e18;
