--- a/tests/support/fake_state.cpp
+++ b/tests/support/fake_state.cpp
@@ -131,6 +131,7 @@
 }
 
 void FakeStore::get(const std::string& key, std::function<void(ledger::GetResult)> done) {
+  ++gets;
   exchange<ledger::GetResult>([this, key] { return state_.get(key); }, std::move(done), {Outcome::unavailable, {}, 0}, {}, false);
 }
 
--- a/tests/support/fake_state.hpp
+++ b/tests/support/fake_state.hpp
@@ -59,6 +59,7 @@
     double lost = 0;            ///< share of requests without an answer
     double late = 0;            ///< share of lost commits applied much later
   };
+  std::size_t gets = 0;  ///< single keys asked for
   FakeStore(VirtualLoop& loop, FakeState& state, unsigned seed) : loop_(loop), state_(state), random_(seed) {}
 
   void get(const std::string& key, std::function<void(ledger::GetResult)> done) override;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -549,6 +549,24 @@
   }
 }
 
+/// Polls without a pause once took a request of the state service each few
+/// milliseconds, and with it the rate that all commits wait for.
+TEST(Overload, PollsDoNotTakeTheStateServiceFromCommits) {
+  World world(49);
+  world.submit(array(1, 1, 500));
+  world.run_until(20);
+  const auto before = world.store(0).gets;
+  std::size_t answered = 0;
+  for (int i = 0; i < 2000; ++i) {
+    world.send_to_node(0, {"GET", "/api/jobs/job-1", {}}, [&](const net::Response& response) { answered += response.status == 200; });
+    world.run_until(world.loop.now() + 0.005);
+  }
+  world.run_until(world.loop.now() + 1);
+  EXPECT_EQ(answered, 2000U);
+  // Of 120 requests a second three nodes may take 0.3 in 11 s.
+  EXPECT_LT(world.store(0).gets - before, 11 * 0.3 * 120 / 3 + 5);
+}
+
 /// A report with hundreds of tasks that nobody knows gets an answer of bounded
 /// size, and the machine no work while it holds them.
 TEST(BadInput, HundredsOfUnknownTasksAreAnsweredWithinBounds) {
