--- a/src/engine/caretaker.cpp
+++ b/src/engine/caretaker.cpp
@@ -98,10 +98,11 @@
 }
 
 void Caretaker::end(const char* why) {
-  spdlog::info("no longer taking care of {}: {}", settings_.zone, why);
-  state_ = State::idle;
+  const bool cared = std::exchange(state_, State::idle) == State::active;
   ++round_;
   heard_since_ = -1;
+  if (!cared) return;
+  spdlog::info("no longer taking care of {}: {}", settings_.zone, why);
   // Falling silent first, then removing the record; should that fail the
   // lease removes it.
   const auto found = mirror_.cares().find(settings_.node);
@@ -123,12 +124,6 @@
   waiting_ = std::move(left);
 }
 
-void Caretaker::yield() {
-  if (state_ == State::active) end("this node leads");
-  state_ = State::idle;
-  ++round_;
-}
-
 void Caretaker::tick(const View& view) {
   const double now = runtime_.now();
   answer_waiting(view);
--- a/src/engine/caretaker.hpp
+++ b/src/engine/caretaker.hpp
@@ -37,6 +37,7 @@
     /// heard, which does not hear the leader either: the zone is cut off.
     std::string neighbour;
   };
+  /// A report that nobody could answer yet, as read and as it came.
   struct Waiting {
     wire::Report report;
     std::string body;
@@ -51,8 +52,8 @@
   [[nodiscard]] std::vector<Waiting> take_waiting() { return std::exchange(waiting_, {}); }
   /// Renews the care, or ends it when the leader can be heard again.
   void tick(const View& view);
-  /// This node leads now, and answers as the leader from here on.
-  void yield();
+  /// Answers nobody from here on; does nothing where there is no care.
+  void end(const char* why);
   [[nodiscard]] bool active() const { return state_ != State::idle; }
   /// When a report was last answered on the own account; when the process
   /// began, at first, for nobody knows what the one before it did.
@@ -63,7 +64,6 @@
 
   void begin();
   void renew();
-  void end(const char* why);
   void answer_waiting(const View& view);
   void turn_away(const Waiting& one, const View& view);
   [[nodiscard]] bool entitled() const;
--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -101,7 +101,11 @@
   const double lease = settings_.lease_over_s();
   std::vector<Host*> silent;
   std::size_t heard = 0;
-  std::map<std::string, std::pair<std::size_t, std::size_t>> zones;  // silent and heard
+  struct Zone {
+    std::size_t silent = 0;
+    std::size_t heard = 0;
+  };
+  std::map<std::string, Zone> zones;
   std::vector<Host*> deaf;
   for (auto& [id, slot] : model_.hosts()) {
     auto& host = *slot;
@@ -111,12 +115,13 @@
     }
     if (host.heard) {
       ++heard;
+      const bool mute = host.quiet(now) > settings_.silent_after_s();
       if (host.tasks.empty() && host.quarantined) release(host);
-      else if (host.deaf && host.quiet(now) <= settings_.silent_after_s()) deaf.push_back(&host);
-      else if (host.quiet(now) > settings_.silent_after_s()) silent.push_back(&host);
-      auto& [mute, known] = zones[host.zone];
-      ++known;
-      mute += host.quiet(now) > settings_.silent_after_s();
+      else if (mute) silent.push_back(&host);
+      else if (host.deaf) deaf.push_back(&host);
+      auto& zone = zones[host.zone];
+      ++zone.heard;
+      if (mute) ++zone.silent;
       continue;
     }
     const auto* flavor = model_.flavor(host.type);
@@ -141,8 +146,8 @@
     }
   }
   for (auto* host : silent) {
-    const auto& [mute, known] = zones[host->zone];
-    const bool reflex = cut_everywhere || cut(mute, known);
+    const auto& zone = zones[host->zone];
+    const bool reflex = cut_everywhere || cut(zone.silent, zone.heard);
     const double quiet = host->quiet(now);
     const double lag = 2 * settings_.list_lag_s + 1;
     const bool unlisted = ever_listed_ && !host->listed && quiet > lag;
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -19,6 +19,10 @@
   return std::any_of(orders.begin(), orders.end(), [](const wire::Order& order) { return order.verb != wire::Verb::clear; });
 }
 
+/// A controller answers machines of its own zone only; one whose zone the
+/// settings don't tell may be of any.
+bool may_care(const std::string& zone, const Host& host) { return zone.empty() || zone == host.zone; }
+
 }  // namespace
 
 Leader::Leader(Context context, std::uint64_t term, std::uint64_t term_stamp, double confirmed)
@@ -187,7 +191,7 @@
   // everything else that is to be recorded.
   const auto& settings = context_.settings;
   const auto exclude = [&](const std::string& node, const std::string& zone) {
-    if (zone.empty() || zone == host.zone) host.record->absent.push_back(ledger::care_key(node));
+    if (may_care(zone, host)) host.record->absent.push_back(ledger::care_key(node));
   };
   host.record->absent.clear();
   exclude(settings.node, settings.zone);
@@ -203,14 +207,14 @@
   committer_.touch(*host.record);
 }
 
-bool Leader::excluded(Host& host, double now) const {
+bool Leader::excluded(const Host& host, double now) const {
   const auto& settings = context_.settings;
   const double lease = settings.lease_over_s();
   // Whoever proved its records current before the retirement was written may
   // have stood in without a word until its authority ran out.
   if (now >= host.retired_at + settings.authority_s() + lease) return true;
   return std::all_of(settings.peers.begin(), settings.peers.end(), [&](const config::Peer& peer) {
-    if (!peer.zone.empty() && peer.zone != host.zone) return true;
+    if (!may_care(peer.zone, host)) return true;
     // Sooner by its word: it knows of the retirement, and what it answered
     // before that has run out.
     const auto word = context_.word(peer.name);
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -59,7 +59,7 @@
   void expire_hosts(double now);
   void retire(Host& host);
   /// Nobody else may be answering this machine, or did so within a lease.
-  [[nodiscard]] bool excluded(Host& host, double now) const;
+  [[nodiscard]] bool excluded(const Host& host, double now) const;
   void unretire(Host& host);
   void record_host(Host& host, const ledger::Mirror::Host* stored);
   [[nodiscard]] double inherited_until() const;
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -52,7 +52,7 @@
     const auto& reply = std::get<mesh::ForwardedReply>(message);
     const auto found = forwarded_.find(reply.id);
     if (found == forwarded_.end()) return;
-    auto respond = std::move(found->second.respond);
+    auto respond = std::move(found->second.waiting.respond);
     forwarded_.erase(found);
     respond({reply.status, reply.body, 0});
   });
@@ -106,7 +106,7 @@
   if (!forwarded && send_home(report, respond)) return;
   if (leader_) return leader_->on_report(std::move(report), std::move(respond));
   if (forwarded) return respond({503, {}, 0});
-  pass_on(std::move(report), body, std::move(respond), runtime_.now() + k::kForwardTimeout);
+  pass_on({std::move(report), body, std::move(respond), runtime_.now() + k::kForwardTimeout});
 }
 
 bool Node::heard(const std::string& peer) const {
@@ -144,35 +144,35 @@
   return false;
 }
 
-void Node::pass_on(wire::Report report, const std::string& body, net::Responder respond, double until) {
+void Node::pass_on(Caretaker::Waiting waiting) {
   if (caretaker_.active() || !leader_heard()) {
-    if (known_leader_.empty()) return respond({503, {}, 0});
-    return caretaker_.on_report({std::move(report), body, std::move(respond), until}, view());
+    if (known_leader_.empty()) return waiting.respond({503, {}, 0});
+    return caretaker_.on_report(std::move(waiting), view());
   }
   const auto id = next_forward_++;
-  forwarded_[id] = {std::move(report), body, std::move(respond), known_leader_, until};
-  mesh_->send(known_leader_, mesh::ForwardedReport{settings_.node, id, body});
+  mesh_->send(known_leader_, mesh::ForwardedReport{settings_.node, id, waiting.body});
+  forwarded_[id] = {std::move(waiting), known_leader_};
+}
+
+void Node::serve(Caretaker::Waiting waiting) {
+  if (leader_) return leader_->on_report(std::move(waiting.report), std::move(waiting.respond));
+  pass_on(std::move(waiting));
 }
 
 void Node::tend_forwarded() {
   const double now = runtime_.now();
   // Those that waited for care while no leader was heard.
   if (leader_ || (leader_heard() && !caretaker_.active())) {
-    for (auto& one : caretaker_.take_waiting()) {
-      if (leader_) leader_->on_report(std::move(one.report), std::move(one.respond));
-      else pass_on(std::move(one.report), one.body, std::move(one.respond), one.until);
-    }
+    for (auto& one : caretaker_.take_waiting()) serve(std::move(one));
   }
-  auto waiting = std::move(forwarded_);
+  auto forwarded = std::move(forwarded_);
   forwarded_.clear();
-  for (auto& [id, one] : waiting) {
-    if (now >= one.until) {
-      one.respond({503, {}, 0});
-    } else if (leader_) {
-      leader_->on_report(std::move(one.report), std::move(one.respond));
-    } else if (one.leader != known_leader_ || !leader_heard()) {
+  for (auto& [id, one] : forwarded) {
+    if (now >= one.waiting.until) {
+      one.waiting.respond({503, {}, 0});
+    } else if (leader_ || one.leader != known_leader_ || !leader_heard()) {
       // Its leader is gone or not to be heard: to the next one, or into care.
-      pass_on(std::move(one.report), one.body, std::move(one.respond), one.until);
+      serve(std::move(one.waiting));
     } else {
       forwarded_[id] = std::move(one);
     }
@@ -330,7 +330,7 @@
                             return found == peers_.end() ? Word{} : found->second.word;
                           },
                           [this] { lose("the term is over"); }};
-  caretaker_.yield();
+  caretaker_.end("this node leads");
   leader_ = std::make_unique<Leader>(context, mirror_.term(), mirror_.term_stamp(), stood_at_);
   known_term_ = mirror_.term();
   known_leader_ = settings_.node;
--- a/src/engine/node.hpp
+++ b/src/engine/node.hpp
@@ -40,11 +40,8 @@
     Word word;
   };
   struct Forwarded {
-    wire::Report report;
-    std::string body;
-    net::Responder respond;
+    Caretaker::Waiting waiting;
     std::string leader;
-    double until = 0;
   };
   struct Redirect {
     std::string node;
@@ -55,7 +52,10 @@
   void on_report(const std::string& body, net::Responder respond, bool forwarded);
   /// Sends the worker to a node of its zone, if it should go there.
   bool send_home(const wire::Report& report, const net::Responder& respond);
-  void pass_on(wire::Report report, const std::string& body, net::Responder respond, double until);
+  void pass_on(Caretaker::Waiting waiting);
+  /// For a report that has waited: the leader answers it if that is this node
+  /// by now.
+  void serve(Caretaker::Waiting waiting);
   void tend_forwarded();
   [[nodiscard]] bool heard(const std::string& peer) const;
   [[nodiscard]] bool leader_heard() const;
--- a/src/engine/proof.cpp
+++ b/src/engine/proof.cpp
@@ -7,10 +7,11 @@
 
 void Proof::request(double patience_s, Waiter waiter) {
   next_.push_back({runtime_.now(), runtime_.now() + patience_s, 0, std::move(waiter)});
-  if (!probing_) probe();
+  probe();
 }
 
 void Proof::probe() {
+  if (probing_ || next_.empty()) return;
   // Polls follow each other without a pause; a request for each of them would
   // take the state service's rate from the commits that all wait for.
   const double now = runtime_.now();
@@ -18,7 +19,7 @@
     if (std::exchange(woken_, true)) return;
     runtime_.after(next_probe_ - now, scope_.wrap([this] {
       woken_ = false;
-      if (!probing_ && !next_.empty()) probe();
+      probe();
     }));
     return;
   }
@@ -38,7 +39,7 @@
       for (auto& one : covered) one.waiter(false);
     }
     check();
-    if (!next_.empty() && !probing_) probe();
+    probe();
   }));
 }
 
--- a/src/engine/proof.hpp
+++ b/src/engine/proof.hpp
@@ -37,6 +37,7 @@
     std::uint64_t revision = 0;
     Waiter waiter;
   };
+  /// Asks on behalf of all who wait, if any do and nothing is under way.
   void probe();
 
   Runtime& runtime_;
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -399,9 +399,7 @@
   world.submit(array(1, 1, 300));
   world.run_until(30);
   world.state_down(true);
-  std::optional<net::Response> answer;
-  world.send_to_node(0, {"GET", "/api/jobs/job-1", ""}, [&](net::Response response) { answer = std::move(response); });
-  world.run_until(33);
+  const auto answer = world.answer_of(0, {"GET", "/api/jobs/job-1", ""}, 3);
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->status, 503);
   EXPECT_GT(answer->retry_after_s, 0);
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -434,6 +434,14 @@
   nodes_[node].node->on_request(std::move(request), std::move(respond));
 }
 
+std::optional<net::Response> World::answer_of(std::size_t node, net::Request request, double patience) {
+  // Outlives the wait: the answer may come after it.
+  auto answer = std::make_shared<std::optional<net::Response>>();
+  send_to_node(node, std::move(request), [answer](net::Response response) { *answer = std::move(response); });
+  run_until(loop.now() + patience);
+  return *answer;
+}
+
 const wire::JobSpec* World::spec(const std::string& id) const {
   const auto found = specs_.find(id);
   return found == specs_.end() ? nullptr : &found->second;
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -139,6 +139,8 @@
   }
   [[nodiscard]] bool reachable(std::size_t node, const std::string& zone) const;
   void send_to_node(std::size_t node, net::Request request, net::Responder respond);
+  /// What the node has answered after so many seconds, if anything.
+  std::optional<net::Response> answer_of(std::size_t node, net::Request request, double patience);
   [[nodiscard]] const wire::JobSpec* spec(const std::string& id) const;
   [[nodiscard]] engine::Node* node(std::size_t index) { return nodes_[index].node.get(); }
   [[nodiscard]] FakeStore& store(std::size_t index) { return *nodes_[index].store; }
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -35,6 +35,15 @@
   return 0;
 }
 
+/// Until a controller of the north leads: every second node is of the south.
+void lead_from_north(World& world) {
+  for (int i = 0; i < 8 && leader_index(world) % 2 == 1; ++i) {
+    world.crash(leader_index(world), 6);
+    world.run_until(world.loop.now() + 8);
+  }
+  ASSERT_EQ(leader_index(world) % 2, 0U);
+}
+
 void expect_rules(const World& world) {
   EXPECT_TRUE(world.rules.broken().empty()) << world.rules.broken().front();
 }
@@ -207,11 +216,7 @@
   world.run_until(45);
   ASSERT_EQ(placed(world, "job-1"), 5U);
   ASSERT_EQ(placed(world, "job-2"), 4U);
-  if (leader_index(world) == 1) {
-    world.crash(1, 0.5);
-    world.run_until(55);
-  }
-  ASSERT_NE(leader_index(world), 1U);
+  lead_from_north(world);
   world.cut_mesh(1, true);  // the only controller of the south
   world.run_until(60);
   ASSERT_FALSE(world.leader()->mirror().cares().empty()) << "the south is in care";
@@ -246,11 +251,7 @@
   south.zone = "south";
   world.submit(south);
   world.run_until(45);
-  for (int i = 0; i < 8 && leader_index(world) % 2 == 1; ++i) {
-    world.crash(leader_index(world), 6);
-    world.run_until(world.loop.now() + 8);
-  }
-  ASSERT_EQ(leader_index(world) % 2, 0U);
+  lead_from_north(world);
   ASSERT_EQ(placed(world, "job-1"), 4U);
   ASSERT_EQ(placed(world, "job-2"), 4U);
 }
@@ -263,7 +264,7 @@
   const auto starts = world.rules.starts();
   const double at = world.loop.now();
   world.cut_zone("south", true);
-  world.run_until(at + 30);  // W is 25 s, the lease 10 s
+  world.run_until(at + 30);  // W is 28.5 s, the lease 10 s
   EXPECT_EQ(placed(world, "job-2"), 4U) << "not given up";
   world.cut_zone("south", false);
   world.run_until(at + 60);
@@ -281,10 +282,7 @@
   south.zone = "south";
   world.submit(south);
   world.run_until(45);
-  if (leader_index(world) == 1) {
-    world.crash(1, 6);
-    world.run_until(55);
-  }
+  lead_from_north(world);
   auto* worker = worker_of(world, "job-1");
   ASSERT_NE(worker, nullptr);
   const wire::Report report{worker->id(), worker->id(), "m12", "south", worker->spot(), 1, 1, world.leader()->leader()->token(), std::nullopt, {}};
@@ -292,9 +290,7 @@
   world.cut_zone("south", true);
   world.run_until(world.loop.now() + 5);
   const auto ask = [&](double patience) {
-    std::optional<net::Response> answer;
-    world.send_to_node(1, {"POST", "/v1/report", wire::encode_report(report)}, [&](net::Response response) { answer = std::move(response); });
-    world.run_until(world.loop.now() + patience);
+    const auto answer = world.answer_of(1, {"POST", "/v1/report", wire::encode_report(report)}, patience);
     return answer ? answer->status : 0;
   };
   EXPECT_EQ(ask(4), 503);
@@ -541,9 +537,7 @@
 TEST(BadInput, TheWrongMethodIsRefused) {
   World world(44);
   for (const char* path : {"/v1/report", "/api/jobs", "/ready"}) {
-    std::optional<net::Response> answer;
-    world.send_to_node(0, {"DELETE", path, {}}, [&](net::Response response) { answer = std::move(response); });
-    world.run_until(world.loop.now() + 0.1);
+    const auto answer = world.answer_of(0, {"DELETE", path, {}}, 0.1);
     ASSERT_TRUE(answer) << path;
     EXPECT_EQ(answer->status, 405) << path;
   }
@@ -574,9 +568,7 @@
   world.run_until(5);
   wire::Report report{"host-999999", "", "m12", "north", false, 1, 1, 0, std::nullopt, {}};
   for (std::uint32_t i = 0; i < 900; ++i) report.tasks.push_back({"job-77", i, 1, wire::TaskState::running, wire::EndCause::none, false});
-  std::optional<net::Response> answer;
-  world.send_to_node(leader_index(world), {"POST", "/v1/report", wire::encode_report(report)}, [&](net::Response response) { answer = std::move(response); });
-  world.run_until(6);
+  const auto answer = world.answer_of(leader_index(world), {"POST", "/v1/report", wire::encode_report(report)}, 1);
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->status, 200);
   EXPECT_LT(answer->body.size(), 64U * 1024);
