Reread: one wake-up for proofs, commits and decisions

Three places armed a timer once and told the same story with a flag of their own; engine::Wake does it for all. Tests name work bound to a zone in one line.

--- a/src/engine/committer.cpp
+++ b/src/engine/committer.cpp
@@ -11,7 +11,7 @@
 
 Committer::Committer(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, ledger::Store& store,
                      const ledger::Mirror& mirror, std::uint64_t term_stamp, Events events)
-    : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), term_stamp_(term_stamp), events_(std::move(events)), scope_(queue) {
+    : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), term_stamp_(term_stamp), events_(std::move(events)), scope_(queue), wake_(runtime, queue) {
   for (const auto& [number, slot] : mirror.slots()) {
     slots_[number].stamp = slot.stamp;
     next_number_ = std::max(next_number_, slot.number + 1);
@@ -178,14 +178,7 @@
   if (busy_ || (dirty_.empty() && finals_.empty())) return;
   if (mirror_.revision() < wait_revision_) return;
   const double now = runtime_.now();
-  if (now < next_commit_) {
-    if (std::exchange(woken_, true)) return;
-    runtime_.after(next_commit_ - now, scope_.wrap([this] {
-      woken_ = false;
-      flush();
-    }));
-    return;
-  }
+  if (now < next_commit_) return wake_.after(next_commit_ - now, [this] { flush(); });
   auto pending = std::make_shared<Pending>();
   pending->txn.guards.push_back({std::string(ledger::kTermKey), term_stamp_});
   add_finals(*pending);
--- a/src/engine/committer.hpp
+++ b/src/engine/committer.hpp
@@ -138,7 +138,7 @@
   std::uint64_t next_ticket_ = 1;
   std::uint64_t next_number_ = 1;
   bool busy_ = false;
-  bool woken_ = false;
+  Wake wake_;
   double next_commit_ = -1e18;
   std::uint64_t wait_revision_ = 0;  ///< not before the mirror is this far
 };
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -42,7 +42,8 @@
       planner_(context.settings, model_, estimates_),
       fleet_(context.settings, context.runtime, context.queue, context.cloud, model_, estimates_, term,
              [this](Host& host) { host_gone(host, "deleted or failed"); }),
-      scope_(context.queue) {
+      scope_(context.queue),
+      wake_(context.runtime, context.queue) {
   rebuild();
 }
 
@@ -576,8 +577,8 @@
       next_decide_ = now + k::kDecideEvery;
       planner_.decide(now);
       close_jobs();
-    } else if (!std::exchange(woken_, true)) {
-      context_.runtime.after(next_decide_ - now, scope_.wrap([this] { woken_ = false; }));
+    } else {
+      wake_.after(next_decide_ - now, [] {});
     }
   }
   committer_.flush();
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -97,9 +97,9 @@
   /// Something happened that scheduling has to look at; users' polls and the
   /// answers of the state service are not of that kind.
   bool decide_ = true;
-  bool woken_ = false;  ///< a batch will come when the next decision may be made
   double next_decide_ = kNever;
   CommandScope scope_;
+  Wake wake_;  ///< for the batch in which the next decision may be made
 };
 
 }  // namespace elmstall::engine
--- a/src/engine/proof.cpp
+++ b/src/engine/proof.cpp
@@ -1,7 +1,6 @@
 #include "engine/proof.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace elmstall::engine {
 
@@ -15,14 +14,7 @@
   // Polls follow each other without a pause; a request for each of them would
   // take the state service's rate from the commits that all wait for.
   const double now = runtime_.now();
-  if (now < next_probe_) {
-    if (std::exchange(woken_, true)) return;
-    runtime_.after(next_probe_ - now, scope_.wrap([this] {
-      woken_ = false;
-      probe();
-    }));
-    return;
-  }
+  if (now < next_probe_) return wake_.after(next_probe_ - now, [this] { probe(); });
   next_probe_ = now + gap_;
   probing_ = true;
   std::vector<Waiting> covered;
--- a/src/engine/proof.hpp
+++ b/src/engine/proof.hpp
@@ -18,7 +18,7 @@
 
   /// `gap`: seconds between two requests, which serve all who came meanwhile.
   Proof(Runtime& runtime, CommandQueue& queue, ledger::Store& store, const ledger::Mirror& mirror, double gap)
-      : runtime_(runtime), store_(store), mirror_(mirror), scope_(queue), gap_(gap) {}
+      : runtime_(runtime), store_(store), mirror_(mirror), scope_(queue), wake_(runtime, queue), gap_(gap) {}
 
   /// Calls back with true once the mirror holds all that was committed
   /// before this call, or with false when that can't be shown in time.
@@ -46,9 +46,9 @@
   CommandScope scope_;
   std::vector<Waiting> next_;     ///< wait for a probe to be sent
   std::vector<Waiting> waiting_;  ///< know their revision
+  Wake wake_;
   double gap_;
   double next_probe_ = -1e18;
-  bool woken_ = false;
   bool probing_ = false;
   double last_success_ = -1e18;
   double current_as_of_ = -1e18;
--- a/src/engine/queue.hpp
+++ b/src/engine/queue.hpp
@@ -77,4 +77,24 @@
   std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
+/// A wake-up that many may ask for and that comes once.
+class Wake {
+ public:
+  Wake(Runtime& runtime, CommandQueue& queue) : runtime_(runtime), scope_(queue) {}
+
+  /// Nothing new while one is to come.
+  void after(double seconds, Command command) {
+    if (std::exchange(armed_, true)) return;
+    runtime_.after(seconds, scope_.wrap([this, command = std::move(command)] {
+      armed_ = false;
+      command();
+    }));
+  }
+
+ private:
+  Runtime& runtime_;
+  CommandScope scope_;
+  bool armed_ = false;
+};
+
 }  // namespace elmstall::engine
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -44,6 +44,12 @@
   ASSERT_EQ(leader_index(world) % 2, 0U);
 }
 
+wire::JobSpec array_in(const char* zone, int number, std::uint32_t tasks, double expect_s) {
+  auto job = array(number, tasks, expect_s);
+  job.zone = zone;
+  return job;
+}
+
 void expect_rules(const World& world) {
   EXPECT_TRUE(world.rules.broken().empty()) << world.rules.broken().front();
 }
@@ -207,12 +213,8 @@
 TEST(DeadMachine, IsGivenUpThoughAnotherZoneIsInCare) {
   World world(43);
   world.cloud.capacity = 20;
-  auto north = array(1, 5, 2000);
-  north.zone = "north";
-  world.submit(north);
-  auto south = array(2, 4, 2000);
-  south.zone = "south";
-  world.submit(south);
+  world.submit(array_in("north", 1, 5, 2000));
+  world.submit(array_in("south", 2, 4, 2000));
   world.run_until(45);
   ASSERT_EQ(placed(world, "job-1"), 5U);
   ASSERT_EQ(placed(world, "job-2"), 4U);
@@ -224,9 +226,7 @@
   auto* dead = worker_of(world, "job-1");
   ASSERT_NE(dead, nullptr);
   dead->die();
-  auto quick = array(3, 1, 20);  // ends when the dead machine's lease of 10 s is over
-  quick.zone = "north";
-  world.submit(quick);
+  world.submit(array_in("north", 3, 1, 20));  // ends when the dead machine's lease of 10 s is over
   world.run_until(95);
   ASSERT_FALSE(world.leader()->mirror().cares().empty());
   auto* host = world.leader()->leader()->model().find_host(dead->id());
@@ -244,12 +244,8 @@
 /// the leader is in the north.
 void start_in_both_zones(World& world) {
   world.cloud.capacity = 30;
-  auto north = array(1, 4, 3000);
-  north.zone = "north";
-  world.submit(north);
-  auto south = array(2, 4, 3000);
-  south.zone = "south";
-  world.submit(south);
+  world.submit(array_in("north", 1, 4, 3000));
+  world.submit(array_in("south", 2, 4, 3000));
   world.run_until(45);
   lead_from_north(world);
   ASSERT_EQ(placed(world, "job-1"), 4U);
@@ -278,9 +274,7 @@
 TEST(ZoneCut, ALoneControllerAnswersWhoComesBack) {
   World world(47);
   world.cloud.capacity = 20;
-  auto south = array(1, 2, 3000);
-  south.zone = "south";
-  world.submit(south);
+  world.submit(array_in("south", 1, 2, 3000));
   world.run_until(45);
   lead_from_north(world);
   auto* worker = worker_of(world, "job-1");
