Spread work that may have no more in one zone is rented for in another

Cause: a service of five replicas with three in the north waited for ever for an ordinary machine of the south, since room in the north satisfied the fleet's demand. Only work bound to a zone by its job was looked at zone by zone.

--- a/src/engine/fleet_keeper.cpp
+++ b/src/engine/fleet_keeper.cpp
@@ -200,14 +200,28 @@
   return count;
 }
 
+std::optional<std::string> FleetKeeper::zone_left_open(const Job& job, const std::vector<std::string>& zones) {
+  if (!job.spec.scatter) return std::nullopt;
+  const auto there = [&](const std::string& zone) {
+    const auto found = job.per_zone.find(zone);
+    return found == job.per_zone.end() ? std::size_t{0} : std::size_t{found->second};
+  };
+  const auto full = [&](const std::string& zone) { return there(zone) >= sched::scatter_limit(job.spec.tasks); };
+  if (std::none_of(zones.begin(), zones.end(), full)) return std::nullopt;
+  const auto best = std::min_element(zones.begin(), zones.end(), [&](const auto& a, const auto& b) { return there(a) < there(b); });
+  return full(*best) ? std::nullopt : std::optional(*best);
+}
+
 std::map<std::string, FleetKeeper::Bound> FleetKeeper::bound_to_zones(const wire::Flavor& flavor, double now) const {
   const sched::Amount whole{flavor.cpus, flavor.gpus, flavor.memory_gb};
   std::map<std::string, Bound> bound;
+  const auto& zones = flavor.zones.empty() ? settings_.zones : flavor.zones;
   // Only jobs with tasks that have not found a place can be short of a zone.
   for (const auto& [id, job] : model_.jobs()) {
     const auto& spec = job->spec;
     const bool halves = job->gang() && spec.scatter;
-    if ((!spec.zone && !spec.together && !halves) || job->cancelled || job->failed_until > now || now - job->submitted < k::kZonePatience) continue;
+    const auto open = halves ? std::nullopt : zone_left_open(*job, zones);
+    if ((!spec.zone && !spec.together && !halves && !open) || job->cancelled || job->failed_until > now || now - job->submitted < k::kZonePatience) continue;
     const double share = job->need.share_of(whole);
     if (share > 1 + 1e-6) continue;
     double waiting = 0;
@@ -222,6 +236,7 @@
       entry.spot = entry.spot && spec.spot;
     };
     if (spec.zone) add(*spec.zone, machines);
+    else if (open) add(*open, machines);
     else if (spec.together) add(job->per_zone.empty() ? (job->zone_choice.empty() ? settings_.zones.front() : job->zone_choice) : job->per_zone.begin()->first, machines);
     else for (const auto& zone : settings_.zones) add(zone, std::ceil(machines / static_cast<double>(settings_.zones.size())));
   }
--- a/src/engine/fleet_keeper.hpp
+++ b/src/engine/fleet_keeper.hpp
@@ -43,12 +43,14 @@
   void send_rent(const Request& request);
   void on_rented(const Request& request, const fleet::RentResult& result);
   [[nodiscard]] std::vector<sched::Pool> pools_of(const wire::Flavor& flavor, double now) const;
-  /// Work that waits for machines of one zone: bound there by its job, or a
-  /// gang that needs them together.
+  /// Work that waits for machines of one zone: bound there by its job, a gang
+  /// that needs them together, or spread work that may have no more elsewhere.
   struct Bound {
     double machines = 0;
     bool spot = true;  ///< all of it may use spot machines
   };
+  /// Where spread work may still go that has its most in another zone.
+  [[nodiscard]] static std::optional<std::string> zone_left_open(const Job& job, const std::vector<std::string>& zones);
   [[nodiscard]] std::map<std::string, Bound> bound_to_zones(const wire::Flavor& flavor, double now) const;
   void rent_for_zones(const wire::Flavor& flavor, const std::vector<sched::Pool>& pools, double now);
   [[nodiscard]] sched::Demand demand_of(const wire::Flavor& flavor, double now);
