Nothing is committed while the copy of the records is read anew

Cause, found by reading: after a 410 the leader's copy is read page by page, and a job that is not read yet looked like one that is over. A value built in that moment left out the blocks of live jobs, and overwrote the only value that held them: the next leader would have found their tasks unassigned. A last word whose job is gone from the whole copy is over in any case. Guarded by CommitterTest.NothingIsWrittenWhileTheCopyIsReadAnew.

--- a/src/engine/committer.cpp
+++ b/src/engine/committer.cpp
@@ -85,8 +85,9 @@
   for (auto& [id, final] : finals_) {
     const auto* job = mirror_.job(id);
     if (job == nullptr) {
-      // Written by a transaction of ours that seemed lost, or not yet seen.
-      if (mirror_.final_state(id)) over.push_back(id);
+      // Written by a transaction of ours that seemed lost: a job's record is
+      // removed with its last word only.
+      over.push_back(id);
       continue;
     }
     // Cancelled meanwhile, though its tasks are done: the user was told so,
@@ -176,7 +177,9 @@
 
 void Committer::flush() {
   if (busy_ || (dirty_.empty() && finals_.empty())) return;
-  if (mirror_.revision() < wait_revision_) return;
+  // While the copy of the records is read anew jobs are missing in it, and
+  // their blocks would not be carried along.
+  if (!mirror_.loaded() || mirror_.revision() < wait_revision_) return;
   const double now = runtime_.now();
   if (now < next_commit_) return wake_.after(next_commit_ - now, [this] { flush(); });
   auto pending = std::make_shared<Pending>();
--- a/tests/committer_test.cpp
+++ b/tests/committer_test.cpp
@@ -169,6 +169,27 @@
   }
 }
 
+/// While the copy of the records is read anew, page by page, jobs are missing in
+/// it: their blocks must not be taken for those of jobs that are over.
+TEST_F(CommitterTest, NothingIsWrittenWhileTheCopyIsReadAnew) {
+  for (int i = 0; i < 30; ++i) change(add_block(i));
+  run(5);
+  for (int round = 0; round < 40; ++round) {
+    mirror_.restart();
+    auto page = state_.list(std::string(ledger::kLive), "", 3).listing;
+    ASSERT_TRUE(page.truncated);
+    mirror_.load(page);
+    change(blocks_.at("job-0"));
+    for (int i = 0; i < 4; ++i) {
+      committer_->flush();
+      loop_.run_until(loop_.now() + 0.1);
+    }
+    refresh();
+    for (const auto& [id, block] : blocks_) ASSERT_GE(stored_attempt(id), 1U) << id << " in round " << round;
+    run(0.3);
+  }
+}
+
 TEST_F(CommitterTest, AFormerLeadersTransactionFails) {
   change(add_block(1));
   wire::Txn txn;
