--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -78,13 +78,14 @@
   return value == nullptr ? fallback : as_integer(*value, key);
 }
 
-bool Fields::flag_or(std::string_view key, bool fallback) const {
-  const Object* value = find(key);
-  if (value == nullptr) return fallback;
-  if (value->type != msgpack::type::BOOLEAN) throw Malformed(field_error(key, "is not a boolean"));
-  return value->via.boolean;
+bool Fields::flag(std::string_view key) const {
+  const Object& value = require(key);
+  if (value.type != msgpack::type::BOOLEAN) throw Malformed(field_error(key, "is not a boolean"));
+  return value.via.boolean;
 }
 
+bool Fields::flag_or(std::string_view key, bool fallback) const { return find(key) == nullptr ? fallback : flag(key); }
+
 std::pair<const Object*, const Object*> elements(const Object* object, std::string_view what) {
   if (object == nullptr) return {nullptr, nullptr};
   if (object->type != msgpack::type::ARRAY) throw Malformed(field_error(what, "is not a list"));
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -31,6 +31,7 @@
   [[nodiscard]] std::optional<double> maybe_number(std::string_view key) const;
   [[nodiscard]] std::uint64_t integer(std::string_view key) const;
   [[nodiscard]] std::uint64_t integer_or(std::string_view key, std::uint64_t fallback) const;
+  [[nodiscard]] bool flag(std::string_view key) const;
   [[nodiscard]] bool flag_or(std::string_view key, bool fallback) const;
   [[nodiscard]] const Object& require(std::string_view key) const;
 
--- a/src/wire/types.cpp
+++ b/src/wire/types.cpp
@@ -122,11 +122,16 @@
   return std::all_of(id.begin() + prefix.size(), id.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
+std::string decode_job_id(const Object& object) {
+  auto id = Fields(object).text("uid");
+  if (!valid_job_id(id)) throw Malformed("field 'uid' is not a job id");
+  return id;
+}
+
 JobSpec decode_job(const Object& object) {
   const Fields fields(object);
   JobSpec job;
-  job.id = fields.text("uid");
-  if (!valid_job_id(job.id)) throw Malformed("field 'uid' is not a job id");
+  job.id = decode_job_id(object);
   job.lane = fields.text("lane");
   check_text(job.lane, "lane");
   job.team = fields.text("owner");
@@ -137,20 +142,20 @@
   if (tasks == 0 || tasks > constants::kMaxTasks) throw Malformed("field 'shards' is out of range");
   job.tasks = static_cast<std::uint32_t>(tasks);
   job.cpus = amount(fields, "cores");
-  job.gpus = amount_or_zero(fields, "cards");
-  job.memory_gb = amount_or_zero(fields, "ram_gb");
+  job.gpus = amount(fields, "cards");
+  job.memory_gb = amount(fields, "ram_gb");
   const auto [first, last] = elements(fields.find("builds"), "builds");
   for (const auto* item = first; item != last; ++item) job.types.push_back(as_text(*item, "builds"));
   job.zone = fields.maybe_text("yard");
-  job.together = fields.flag_or("together", false);
-  job.scatter = fields.flag_or("scatter", false);
-  job.spot = fields.flag_or("loaners", false);
-  job.image = fields.maybe_text("bundle").value_or("");
+  job.together = fields.flag("together");
+  job.scatter = fields.flag("scatter");
+  job.spot = fields.flag("loaners");
+  job.image = fields.text("bundle");
   if (job.image.size() > 200) throw Malformed("field 'bundle' is too long");
-  job.image_gb = amount_or_zero(fields, "pull_gb");
-  job.expect_s = amount_or_zero(fields, "expect_s");
-  job.checkpoint_every_s = amount_or_zero(fields, "mark_every_s");
-  job.save_s = amount_or_zero(fields, "mark_s");
+  job.image_gb = amount(fields, "pull_gb");
+  job.expect_s = amount(fields, "expect_s");
+  job.checkpoint_every_s = amount(fields, "mark_every_s");
+  job.save_s = amount(fields, "mark_s");
   if (fields.find("due_s") != nullptr) job.due_s = amount(fields, "due_s");
   return job;
 }
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -44,6 +44,8 @@
 
 [[nodiscard]] bool valid_job_id(std::string_view id);
 /// Throws Malformed.
+/// The id alone, of a submission that may be malformed otherwise.
+[[nodiscard]] std::string decode_job_id(const Object& object);
 [[nodiscard]] JobSpec decode_job(const Object& object);
 void pack_job(Packer& packer, const JobSpec& job);
 
