--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -65,10 +65,18 @@
 inline constexpr double kRenewEvery = 0.8;
 /// Seconds. Spread of the moment at which followers stand for leadership.
 inline constexpr double kElectionJitter = 0.1;
+/// Candidacies remembered by a node that is not elected: the transaction of one
+/// that was given up can be applied only while its lease of `kLeadLease` lives,
+/// in which a dozen others fit at `kStateRetry`.
+inline constexpr std::size_t kCandidaciesKept = 12;
 /// Seconds. Taken off W for timer steps and the time it takes to kill a task.
 /// Not for the way of an answer: a lease counts from the sending of the report,
 /// which lies before the moment of the answer, however late that arrives.
 inline constexpr double kAuthorityMargin = 1.5;
+/// Seconds. Oldest knowledge of cancellations on which a task is started, unless
+/// nobody reaches the state service: a proof is asked for every second
+/// (`kProbeEvery`) and may take a slow answer or two to come.
+inline constexpr double kStartKnowledge = 4.0;
 /// Ratio. Steady clocks drift apart by at most 0.05%; doubled here.
 inline constexpr double kDrift = 0.001;
 /// Seconds. Added to any wait for a lease to run out, for timer steps.
--- a/src/engine/caretaker.cpp
+++ b/src/engine/caretaker.cpp
@@ -13,6 +13,8 @@
 
 void Caretaker::on_report(Waiting waiting, const View& view) {
   if (waiting.report.zone != settings_.zone) return waiting.respond({503, {}, 0});
+  // It would drop an answer of ours, and be kept here while its lease runs out.
+  if (waiting.report.token >> k::kTokenFenceBits > mirror_.term()) return waiting.respond({503, {}, 0});
   if (entitled() || may_stand_in(waiting.report.host, view)) return answer(waiting.report, waiting.respond);
   waiting_.push_back(std::move(waiting));
   if (state_ == State::idle) begin();
@@ -49,6 +51,7 @@
   const auto found = mirror_.hosts().find(report.host);
   // Unknown to the leader, or about to be called gone: not ours to keep.
   if (found == mirror_.hosts().end() || found->second.record.retired) return respond({503, {}, 0});
+  if (may_start_cancelled(report)) return respond({503, {}, 0});
   std::vector<wire::Order> orders;
   for (const auto& task : report.tasks) {
     const auto* job = mirror_.job(task.job);
@@ -62,6 +65,25 @@
   respond({200, wire::encode_orders(present ? report.token : mirror_.term() << k::kTokenFenceBits, orders), 0});
 }
 
+bool Caretaker::may_start_cancelled(const wire::Report& report) const {
+  // A `run` that is held on its way is carried out whenever it arrives, as
+  // long as the machine has seen no higher token and its session lives. A
+  // caretaker has no higher token to give, so it ends the session instead.
+  for (const auto& id : mirror_.cancelled()) {
+    const auto* blocks = mirror_.blocks(id);
+    if (blocks == nullptr) continue;
+    for (const auto& [number, block] : *blocks) {
+      const bool held = std::any_of(block.record.tasks.begin(), block.record.tasks.end(), [&](const ledger::TaskRecord& task) {
+        return task.host == report.host && std::none_of(report.tasks.begin(), report.tasks.end(), [&](const wire::TaskReport& shown) {
+                 return shown.index == task.index && shown.attempt == task.attempt && shown.job == id;
+               });
+      });
+      if (held) return true;
+    }
+  }
+  return false;
+}
+
 void Caretaker::begin() {
   state_ = State::starting;
   const auto round = ++round_;
@@ -74,8 +96,12 @@
     if (granted.outcome != Outcome::ok) return fail();
     lease_ = granted.lease;
     wire::Txn txn;
-    txn.guards = {{std::string(ledger::kTermKey), mirror_.term_stamp()}};
-    txn.writes = {{ledger::care_key(settings_.node), ledger::encode(ledger::CareRecord{settings_.zone}), lease_}};
+    // By its own version too: an earlier attempt's transaction that is applied
+    // later would hang the record on that attempt's lease.
+    const auto key = ledger::care_key(settings_.node);
+    const auto own = mirror_.cares().find(settings_.node);
+    txn.guards = {{std::string(ledger::kTermKey), mirror_.term_stamp()}, {key, own == mirror_.cares().end() ? 0 : own->second.second}};
+    txn.writes = {{key, ledger::encode(ledger::CareRecord{settings_.zone}), lease_}};
     store_.commit(std::move(txn), scope_.wrap([this, round, fail, sent](const ledger::CommitResult& result) {
       if (round != round_) return;
       if (result.outcome != Outcome::ok) return fail();
--- a/src/engine/caretaker.hpp
+++ b/src/engine/caretaker.hpp
@@ -69,6 +69,8 @@
   [[nodiscard]] bool entitled() const;
   [[nodiscard]] bool may_stand_in(const std::string& host, const View& view) const;
   void answer(const wire::Report& report, const net::Responder& respond);
+  /// The records place a task of a cancelled job there that it does not show.
+  [[nodiscard]] bool may_start_cancelled(const wire::Report& report) const;
 
   const config::Settings& settings_;
   Runtime& runtime_;
--- a/src/engine/gateway.cpp
+++ b/src/engine/gateway.cpp
@@ -96,12 +96,15 @@
   if (!call) return;
   try {
     const auto document = wire::Document::parse(body);
+    // Read first: an id that was accepted before keeps its answer, whatever
+    // else is sent with it now.
+    call->id = wire::decode_job_id(document.root());
     call->spec = wire::decode_job(document.root());
   } catch (const wire::Malformed& error) {
     spdlog::info("a submission is malformed: {}", error.what());
-    return refuse(call, 400, error.what());
+    if (call->id.empty()) return refuse(call, 400, error.what());
+    return if_known(call, false, [this, call, problem = std::string(error.what())] { refuse(call, 400, problem); });
   }
-  call->id = call->spec.id;
   if (mirror_.final_state(call->id) || mirror_.job(call->id) != nullptr) {
     return if_known(call, false, [this, call] { later(call); });
   }
@@ -168,7 +171,10 @@
   txn.guards = {{ledger::job_key(call->id), job->stamp}};
   txn.writes = {{ledger::job_key(call->id), ledger::encode(record), 0}};
   store_.commit(std::move(txn), scope_.wrap([this, call](const ledger::CommitResult& result) {
-    if (result.outcome == Outcome::ok) return answer(call, 200, {call->id, wire::JobState::cancelled, 0, 0}, false);
+    if (result.outcome == Outcome::ok) {
+      cancelled_(call->id);
+      return answer(call, 200, {call->id, wire::JobState::cancelled, 0, 0}, false);
+    }
     if (result.outcome == Outcome::unavailable) return retry(call, [this, call] { mark_cancelled(call); });
     // Changed by somebody else, or perhaps by this very request: look again
     // with a mirror that is current.
--- a/src/engine/gateway.hpp
+++ b/src/engine/gateway.hpp
@@ -13,8 +13,10 @@
 
 class Gateway {
  public:
-  Gateway(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, ledger::Store& store, ledger::Mirror& mirror, Proof& proof)
-      : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), proof_(proof), scope_(queue), limit_(settings.tuning.requests_max) {}
+  /// `cancelled`: called for each cancellation recorded, before its user is told.
+  Gateway(const config::Settings& settings, Runtime& runtime, CommandQueue& queue, ledger::Store& store, ledger::Mirror& mirror, Proof& proof,
+          std::function<void(const std::string& job)> cancelled)
+      : settings_(settings), runtime_(runtime), store_(store), mirror_(mirror), proof_(proof), cancelled_(std::move(cancelled)), scope_(queue), limit_(settings.tuning.requests_max) {}
 
   void set_flavors(const std::vector<wire::Flavor>& flavors) { flavors_ = flavors; }
   void submit(const std::string& body, net::Responder respond);
@@ -50,6 +52,7 @@
   ledger::Store& store_;
   ledger::Mirror& mirror_;
   Proof& proof_;
+  std::function<void(const std::string& job)> cancelled_;
   CommandScope scope_;
   std::vector<wire::Flavor> flavors_;
   ConcurrencyLimit limit_;
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -101,9 +101,16 @@
   auto& block = model_.load_block(job, number, &stored);
   for (const auto& known : stored.record.tasks) {
     if (known.host.empty() || known.index < block.first || known.index - block.first >= block.tasks.size()) continue;
-    auto& host = model_.host(known.host);
-    if (host.inherited_until == kNever) host.inherited_until = inherited_until();
-    model_.adopt(block.tasks[known.index - block.first], host, known.attempt, started_);
+    // A machine must be recorded before anything is assigned to it, and is
+    // taken out of the records only once it was deleted with all on it. The
+    // block may have been written earlier than that; nothing would ever be
+    // heard of the machine, and its task would count for its team for ever.
+    auto* host = model_.find_host(known.host);
+    if (host == nullptr) {
+      committer_.touch(*block.record);
+      continue;
+    }
+    model_.adopt(block.tasks[known.index - block.first], *host, known.attempt, started_);
   }
   if (std::all_of(block.done.begin(), block.done.end(), [](bool done) { return done; })) block.tasks.clear();
 }
@@ -126,6 +133,16 @@
   }
 }
 
+void Leader::on_cancelled(const std::string& id) {
+  // Comes on top of the records, which will tell too; it is no proof that they
+  // are current and prolongs nothing.
+  auto* job = model_.job(id);
+  if (job == nullptr || job->cancelled) return;
+  job->cancelled = true;
+  decide_ = orders_due_ = true;
+  cancel(*job);
+}
+
 void Leader::cancel(Job& job) {
   spdlog::info("job {} cancelled", job.id);
   model_.ending().insert(&job);
@@ -167,7 +184,7 @@
   }
   host.exited.clear();
   host.stray.clear();
-  host.strangers = {};
+  model_.forget_strangers(host);
   host.foreign = false;
 }
 
@@ -229,7 +246,7 @@
     if (host->tasks.empty()) continue;
     // A session may have begun just before we heard of it, and direct orders
     // start tasks in one that was never answered: hearing counts as well.
-    const double touched = std::max({host->last_answer, host->last_report, host->cared_at});
+    const double touched = std::max({host->last_answer, host->last_word, host->cared_at});
     const double alive_until = std::max(host->inherited_until, touched + lease);
     if (alive_until == kNever || host->cared || host->record == nullptr) continue;
     if (!host->retired) {
@@ -265,22 +282,24 @@
     const bool crossed = report.session == host.session && now - host.exchanged_at < k::kReportReplyLimit;
     if (!crossed) return respond({503, {}, 0});
     host.last_answer = now;
-    return respond({200, wire::encode_orders(token(host), {}), 0});
+    return respond({200, wire::encode_orders(token(host), cancelled_orders(host)), 0});
   }
   judge_hearing(host, report, now);
   // A worker has one report in flight and drops late answers: what the last
   // answer ordered was carried out before this report, or never will be.
   host.answered_orders = false;
-  read_report(host, report, now);
+  read_report(host, report, true, now);
   answer(host, respond, now);
 }
 
 void Leader::answer(Host& host, const net::Responder& respond, double now) {
   std::vector<wire::Order> orders;
   // One way at a time: a reply to direct orders that are in flight would not
-  // show what this answer orders.
+  // show what this answer orders. Only what ends cancelled tasks goes both
+  // ways, for this answer renews their lease and direct orders can hang.
   if (!host.exchanging) orders = orders_for(host);
   host.answered_orders = beyond_clearing(orders);
+  if (host.exchanging) orders = cancelled_orders(host);
   const bool awaited = host.answered_orders || !host.synced;
   if (awaited && host.unheeded_since == kNever) host.unheeded_since = now;
   host.last_answer = now;
@@ -317,7 +336,7 @@
   raise_fence(host);
 }
 
-void Leader::read_report(Host& host, const wire::Report& report, double now) {
+void Leader::read_report(Host& host, const wire::Report& report, bool own, double now) {
   decide_ = true;
   model_.describe(host, report.type, report.zone, report.spot, report.addr);
   if (host.record == nullptr) {
@@ -331,10 +350,14 @@
   // What was ordered in that session is void in this, however late it comes.
   if (host.grounded && report.session > host.session) host_gone(host, "its session ended");
   unretire(host);
+  // Direct orders reach machines that reach nobody, and renew no lease: what
+  // starts there ends with it. Only the first word in a term counts as much as
+  // a report, which may be long in coming.
+  if (own || !host.heard) host.last_report = now;
+  host.last_word = now;
   host.heard = true;
   host.session = report.session;
   host.tick = report.tick;
-  host.last_report = now;
   model_.note(host);
   // Only we can have taught it this token, so this report was sent after the
   // takeover, or after the fence was raised, and older orders are void there.
@@ -343,7 +366,7 @@
   if (report.recall_s) host.recall_at = now + *report.recall_s;
   host.exited.clear();
   host.stray.clear();
-  host.strangers = {};
+  model_.forget_strangers(host);
   host.foreign = false;
   for (auto* task : host.tasks) task->seen = false;
   for (const auto& task : report.tasks) read_task(host, task, now);
@@ -366,7 +389,7 @@
       return;
     }
     host.stray.push_back(name);
-    if (job != nullptr) host.strangers += job->need;
+    if (job != nullptr) model_.add_stranger(host, *job);
     else host.foreign = true;
     return;
   }
@@ -461,8 +484,24 @@
   return block == job->blocks.end() || block->second->record->clean();
 }
 
-std::vector<wire::Order> Leader::orders_for(Host& host) {
+bool Leader::may_start() const {
+  const double known = std::min(confirmed_, context_.proof.current_as_of());
+  return context_.runtime.now() - known < k::kStartKnowledge || context_.outage();
+}
+
+std::vector<wire::Order> Leader::cancelled_orders(const Host& host) const {
   std::vector<wire::Order> orders;
+  for (const auto* task : host.tasks) {
+    if (orders.size() >= k::kMaxOrders) break;
+    const bool may_be_there = task->phase == Phase::assigned && task->stopping && task->job->cancelled;
+    if (may_be_there) orders.push_back({wire::Verb::stop, task->job->id, task->index, task->attempt, 0});
+  }
+  return orders;
+}
+
+std::vector<wire::Order> Leader::orders_for(Host& host) {
+  std::vector<wire::Order> orders = cancelled_orders(host);
+  const bool starting = may_start();
   for (const auto& name : host.stray) {
     if (orders.size() >= k::kMaxOrders) break;
     orders.push_back({wire::Verb::stop, name.job, name.index, name.attempt, 0});
@@ -471,12 +510,13 @@
     if (orders.size() >= k::kMaxOrders) break;
     if (task->phase != Phase::assigned) continue;
     const auto& id = task->job->id;
+    if (task->job->cancelled) continue;
     if (task->stopping) {
       // A task that saves is left alone unless its work is of no use.
       if (task->state != TaskState::saving || task->wind_down_s <= 0) {
         orders.push_back({wire::Verb::stop, id, task->index, task->attempt, task->wind_down_s});
       }
-    } else if (!task->seen && task->block->record->written >= task->needs && !task->job->cancelled) {
+    } else if (starting && !task->seen && task->block->record->written >= task->needs) {
       orders.push_back({wire::Verb::run, id, task->index, task->attempt, 0});
       task->offered = true;
     }
@@ -542,7 +582,7 @@
     return;
   }
   if (!result.report || result.report->host != id || !news(*host, *result.report)) return;
-  read_report(*host, *result.report, now);
+  read_report(*host, *result.report, false, now);
 }
 
 void Leader::synchronise(double now) {
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -28,6 +28,9 @@
     const ledger::Mirror& mirror;
     const Proof& proof;
     std::function<Word(const std::string& peer)> word;
+    /// Every other controller is heard and says that the state service does
+    /// not answer it either: nobody confirms anything.
+    std::function<bool()> outage;
     std::function<void()> deposed;
   };
 
@@ -36,6 +39,8 @@
 
   void set_flavors(const std::vector<wire::Flavor>& flavors);
   void on_report(wire::Report report, net::Responder respond);
+  /// Another controller has recorded that this job is cancelled.
+  void on_cancelled(const std::string& job);
   void on_change(const std::vector<ledger::Key>& keys);
   /// A request that proved the term to be current was sent at this time.
   void confirm(double sent) { confirmed_ = std::max(confirmed_, sent); }
@@ -73,13 +78,19 @@
   void exchange(Host& host, std::vector<wire::Order> orders);
   void on_exchange(const std::string& id, bool stated, const fleet::OrdersResult& result);
   void synchronise(double now);
-  void read_report(Host& host, const wire::Report& report, double now);
+  /// `own`: it came as a report, not as the reply to direct orders.
+  void read_report(Host& host, const wire::Report& report, bool own, double now);
   void read_task(Host& host, const wire::TaskReport& report, double now);
   void task_ended(Task& task, Host& host, const wire::TaskReport& report, double now);
   void task_failed(Task& task, Host& host, double now);
   void absent_tasks(Host& host);
   void handle_recall(Host& host, double now);
   [[nodiscard]] std::vector<wire::Order> orders_for(Host& host);
+  /// What no answer that renews the machine's lease may lack.
+  [[nodiscard]] std::vector<wire::Order> cancelled_orders(const Host& host) const;
+  /// Nobody can have confirmed a cancellation that this node has not heard of,
+  /// but for the last few seconds.
+  [[nodiscard]] bool may_start() const;
   [[nodiscard]] bool may_clear(const Exited& exited);
 
   Context context_;
--- a/src/engine/model.cpp
+++ b/src/engine/model.cpp
@@ -131,6 +131,7 @@
   const auto found = hosts_.find(id);
   if (found == hosts_.end()) return;
   released_.insert(id);
+  forget_strangers(*found->second);
   touched_.erase(found->second.get());
   attention_.erase(found->second.get());
   if (found->second->record != nullptr) committer_.discard(*found->second->record, ledger::pack(ledger::HostEntry{id, true, {}}));
@@ -182,8 +183,9 @@
 }
 
 void Model::describe(Host& host, const std::string& type, const std::string& zone, bool spot, const std::string& addr) {
+  // What stands there counts for the zone that the machine had: it never moves.
+  if (host.tasks.empty() || host.zone.empty()) host.zone = zone;
   host.type = type;
-  host.zone = zone;
   host.spot = spot;
   if (!addr.empty()) host.addr = addr;
   if (const auto* known = flavor(type)) host.capacity = {known->cpus, known->gpus, known->memory_gb};
@@ -281,6 +283,19 @@
   }
 }
 
+void Model::add_stranger(Host& host, const Job& job) {
+  host.strangers += job.need;
+  auto& usage = usage_[job.spec.team];
+  usage += job.need;
+  host.stranger_usage.emplace_back(&usage, job.need);
+}
+
+void Model::forget_strangers(Host& host) {
+  for (const auto& [usage, need] : host.stranger_usage) *usage -= need;
+  host.stranger_usage.clear();
+  host.strangers = {};
+}
+
 const sched::Amount& Model::usage(const std::string& team) const {
   static const sched::Amount none;
   const auto found = usage_.find(team);
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -139,7 +139,8 @@
   double unheeded_since = kNever;
   bool deaf = false;
   bool heard = false;  ///< any report in this term
-  double last_report = kNever;
+  double last_report = kNever;  ///< of its own accord: a machine that can't reach us shows nothing else
+  double last_word = kNever;    ///< that, or a reply to direct orders
   double last_answer = kNever;  ///< when a report was last answered with 200
   /// Until then a former leader may have kept its lease alive.
   double inherited_until = kNever;
@@ -153,7 +154,9 @@
   std::optional<double> recall_at;
   TaskSet tasks;
   sched::Amount used;      ///< by `tasks`, planned ones included
-  sched::Amount strangers; ///< by reported tasks that are not ours to count
+  sched::Amount strangers; ///< by reported tasks that are not there by our will
+  /// The same for each team's use of them.
+  std::vector<std::pair<sched::Amount*, sched::Amount>> stranger_usage;
   bool foreign = false;    ///< reports tasks unknown to us
   std::vector<Exited> exited;
   std::vector<Exited> stray;  ///< running tasks that are not there by our will
@@ -212,6 +215,10 @@
   /// The task is certainly on no machine any more.
   void release(Task& task);
   void complete(Task& task);
+  /// A reported task of the job that is not there by our will: it takes room
+  /// and counts for its team all the same.
+  void add_stranger(Host& host, const Job& job);
+  void forget_strangers(Host& host);
   /// Takes over an assignment found in the records.
   void adopt(Task& task, Host& host, std::uint64_t attempt, double now);
 
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -21,7 +21,7 @@
       queue_(ports.runtime, [this] { after_batch(); }),
       scope_(queue_),
       proof_(ports.runtime, queue_, ports.store, mirror_, static_cast<double>(settings.peers.size() + 1) / (k::kProofShare * settings.state_rps)),
-      gateway_(settings, ports.runtime, queue_, ports.store, mirror_, proof_),
+      gateway_(settings, ports.runtime, queue_, ports.store, mirror_, proof_, [this](const std::string& job) { spread_cancelled(job); }),
       caretaker_(settings, ports.runtime, queue_, ports.store, mirror_, proof_) {}
 
 void Node::start(mesh::Mesh& mesh) {
@@ -43,6 +43,7 @@
 void Node::on_message(mesh::Message message) {
   queue_.post([this, message = std::move(message)]() mutable {
     if (const auto* news = std::get_if<mesh::Beat>(&message)) return on_beat(*news);
+    if (const auto* cancelled = std::get_if<mesh::Cancelled>(&message)) return on_cancelled(cancelled->job);
     if (auto* report = std::get_if<mesh::ForwardedReport>(&message)) {
       auto respond = [this, node = report->node, id = report->id](const net::Response& response) {
         mesh_->send(node, mesh::ForwardedReply{id, response.status, response.body});
@@ -103,6 +104,9 @@
     spdlog::error("a worker's report can't be read: {}", error.what());
     return respond({400, {}, 0});
   }
+  // A machine that has heard of a later term drops what is answered in an
+  // earlier one, and stays with whoever answers while its lease runs out.
+  learn_term(report.token >> k::kTokenFenceBits, "");
   if (!forwarded && send_home(report, respond)) return;
   if (leader_) return leader_->on_report(std::move(report), std::move(respond));
   if (forwarded) return respond({503, {}, 0});
@@ -181,6 +185,11 @@
 
 bool Node::state_reachable(double within_s) const { return runtime_.now() - proof_.last_success() < within_s; }
 
+bool Node::common_outage() const {
+  if (state_reachable()) return false;
+  return std::all_of(settings_.peers.begin(), settings_.peers.end(), [&](const config::Peer& peer) { return heard(peer.name) && !peers_.at(peer.name).state_reachable; });
+}
+
 bool Node::ready() const {
   if (!mirror_.loaded() || flavors_.empty()) return false;
   if (state_reachable()) return true;
@@ -271,7 +280,15 @@
 bool Node::leadership_open() const {
   // Free, or held by what this node was before it was restarted.
   const auto& lead = mirror_.lead();
-  return !lead || (lead->node == settings_.node && lead->incarnation != incarnation_);
+  return !lead || (lead->node == settings_.node && !lead->incarnation.starts_with(incarnation_ + "/"));
+}
+
+std::optional<Node::Candidacy> Node::won() const {
+  const auto& lead = mirror_.lead();
+  if (!lead || lead->node != settings_.node || lead->term != mirror_.term() || lead->term < known_term_) return std::nullopt;
+  const auto found = std::find_if(candidacies_.begin(), candidacies_.end(), [&](const Candidacy& one) { return one.name == lead->incarnation; });
+  if (found == candidacies_.end()) return std::nullopt;
+  return *found;
 }
 
 void Node::elect() {
@@ -280,11 +297,7 @@
     if (!std::exchange(refused_layout_, true)) spdlog::error("the state service holds records of an earlier layout below {}block/ or host/: not standing for leadership", ledger::kLive);
     return;
   }
-  const auto& lead = mirror_.lead();
-  if (lead && lead->node == settings_.node && lead->incarnation == incarnation_) {
-    if (lead->term == mirror_.term() && lead->term >= known_term_ && standing_) win();
-    return;
-  }
+  if (const auto candidacy = won()) return win(*candidacy);
   if (!leadership_open() || standing_) {
     stand_at_ = -1;
     return;
@@ -297,41 +310,50 @@
 void Node::stand() {
   standing_ = true;
   stand_at_ = -1;
-  stood_at_ = runtime_.now();
-  const auto give_up = [this] {
-    runtime_.after(k::kStateRetry, scope_.wrap([this] {
-      if (!leader_) standing_ = false;
-      elect();
-    }));
-  };
-  store_.grant(k::kLeadLease, scope_.wrap([this, give_up](const ledger::GrantResult& granted) {
-    if (granted.outcome != Outcome::ok) return give_up();
+  store_.grant(k::kLeadLease, scope_.wrap([this](const ledger::GrantResult& granted) {
     // Somebody else may have won while the lease was asked for.
-    if (!leadership_open()) return give_up();
-    lease_ = granted.lease;
-    const auto term = mirror_.term() + 1;
-    wire::Txn txn;
-    txn.guards = {{std::string(ledger::kTermKey), mirror_.term_stamp()}, {std::string(ledger::kLeadKey), mirror_.lead_stamp()}};
-    txn.writes = {{std::string(ledger::kTermKey), ledger::encode(ledger::TermRecord{term}), 0},
-                  {std::string(ledger::kLeadKey), ledger::encode(ledger::LeadRecord{settings_.node, incarnation_, term}), lease_}};
-    stood_at_ = runtime_.now();
-    store_.commit(std::move(txn), scope_.wrap([this, give_up](const ledger::CommitResult& result) {
-      // Won or not, the mirror will tell: it must hold all that came before
-      // this term in any case.
-      if (result.outcome != Outcome::ok) give_up();
-    }));
+    if (granted.outcome == Outcome::ok && !leader_ && leadership_open()) return campaign(granted.lease);
+    stand_down();
   }));
 }
 
-void Node::win() {
+void Node::campaign(std::uint64_t lease) {
+  const auto term = mirror_.term() + 1;
+  const Candidacy candidacy{incarnation_ + "/" + std::to_string(next_candidacy_++), lease, runtime_.now()};
+  candidacies_.push_back(candidacy);
+  if (candidacies_.size() > k::kCandidaciesKept) candidacies_.erase(candidacies_.begin());
+  wire::Txn txn;
+  txn.guards = {{std::string(ledger::kTermKey), mirror_.term_stamp()}, {std::string(ledger::kLeadKey), mirror_.lead_stamp()}};
+  txn.writes = {{std::string(ledger::kTermKey), ledger::encode(ledger::TermRecord{term}), 0},
+                {std::string(ledger::kLeadKey), ledger::encode(ledger::LeadRecord{settings_.node, candidacy.name, term}), lease}};
+  store_.commit(std::move(txn), scope_.wrap([this](const ledger::CommitResult& result) {
+    // Won or not, the mirror will tell: it must hold all that came before
+    // this term in any case.
+    if (result.outcome != Outcome::ok) stand_down();
+  }));
+}
+
+void Node::stand_down() {
+  runtime_.after(k::kStateRetry, scope_.wrap([this] {
+    if (!leader_) standing_ = false;
+    elect();
+  }));
+}
+
+void Node::win(const Candidacy& candidacy) {
   Leader::Context context{settings_, runtime_, queue_, store_, cloud_, workers_, mirror_, proof_,
                           [this](const std::string& peer) {
                             const auto found = peers_.find(peer);
                             return found == peers_.end() ? Word{} : found->second.word;
                           },
+                          [this] { return common_outage(); },
                           [this] { lose("the term is over"); }};
   caretaker_.end("this node leads");
-  leader_ = std::make_unique<Leader>(context, mirror_.term(), mirror_.term_stamp(), stood_at_);
+  lease_ = candidacy.lease;
+  leader_ = std::make_unique<Leader>(context, mirror_.term(), mirror_.term_stamp(), candidacy.sent);
+  // Each wins at most once: names and tokens of a term must not be used again.
+  candidacies_.clear();
+  standing_ = true;
   known_term_ = mirror_.term();
   known_leader_ = settings_.node;
   types_recorded_ = false;
@@ -391,6 +413,15 @@
   learn_term(news.term, news.leader);
 }
 
+void Node::spread_cancelled(const std::string& job) {
+  mesh_->broadcast(mesh::Cancelled{job});
+  on_cancelled(job);
+}
+
+void Node::on_cancelled(const std::string& job) {
+  if (leader_) leader_->on_cancelled(job);
+}
+
 // --- time ------------------------------------------------------------------------------
 
 void Node::tick() {
--- a/src/engine/node.hpp
+++ b/src/engine/node.hpp
@@ -43,6 +43,13 @@
     Caretaker::Waiting waiting;
     std::string leader;
   };
+  /// One attempt to be elected. Its transaction may be applied long after it
+  /// was given up, so each has its own lease, time and name.
+  struct Candidacy {
+    std::string name;
+    std::uint64_t lease = 0;
+    double sent = 0;
+  };
   struct Redirect {
     std::string node;
     double at = -1e18;
@@ -59,6 +66,8 @@
   void tend_forwarded();
   [[nodiscard]] bool heard(const std::string& peer) const;
   [[nodiscard]] bool leader_heard() const;
+  /// Every controller is heard, and the state service answers none of them.
+  [[nodiscard]] bool common_outage() const;
   [[nodiscard]] Caretaker::View view() const;
   void tick();
   void after_batch();
@@ -74,9 +83,14 @@
 
   // leadership
   [[nodiscard]] bool leadership_open() const;
+  /// The candidacy that the records show as won, if it is ours to act on.
+  [[nodiscard]] std::optional<Candidacy> won() const;
   void elect();
   void stand();
-  void win();
+  void campaign(std::uint64_t lease);
+  /// Not elected, as it seems: another try a little later.
+  void stand_down();
+  void win(const Candidacy& candidacy);
   void lose(const char* why);
   void renew();
   void learn_term(std::uint64_t term, const std::string& leader);
@@ -84,6 +98,9 @@
   // mesh
   void beat();
   void on_beat(const mesh::Beat& beat);
+  /// A cancellation was recorded here: the leader hears of it at once.
+  void spread_cancelled(const std::string& job);
+  void on_cancelled(const std::string& job);
   /// The state service answered within this many seconds.
   [[nodiscard]] bool state_reachable(double within_s = constants::kUnreadyAfter) const;
 
@@ -107,10 +124,11 @@
   std::uint64_t known_term_ = 0;  ///< highest heard of, from records or peers
   std::string known_leader_;
   bool standing_ = false;
+  std::vector<Candidacy> candidacies_;  ///< that may still win, latest last
+  std::uint64_t next_candidacy_ = 1;
   bool refused_layout_ = false;  ///< said so
   double stand_at_ = -1;
-  std::uint64_t lease_ = 0;
-  double stood_at_ = 0;  ///< when the request for leadership was sent
+  std::uint64_t lease_ = 0;  ///< that `lead` hangs on
   double next_renew_ = 0;
   double next_beat_ = 0;
   bool told_leader_heard_ = true;  ///< in the last beat
--- a/src/ledger/mirror.cpp
+++ b/src/ledger/mirror.cpp
@@ -14,6 +14,7 @@
   lead_.reset();
   types_.reset();
   jobs_.clear();
+  cancelled_.clear();
   blocks_.clear();
   hosts_.clear();
   slots_.clear();
@@ -121,6 +122,7 @@
       break;
     case Key::Kind::job:
       jobs_[key.id] = {decode_job(packed), stamp};
+      if (jobs_[key.id].record.cancelled) cancelled_.insert(key.id);
       break;
     case Key::Kind::slot:
       put_slot(key.number, decode_slot(packed), stamp);
@@ -144,6 +146,7 @@
     case Key::Kind::lead: lead_.reset(); break;
     case Key::Kind::job:
       jobs_.erase(key.id);
+      cancelled_.erase(key.id);
       if (loaded()) blocks_.erase(key.id);
       break;
     case Key::Kind::care: cares_.erase(key.id); break;
--- a/src/ledger/mirror.hpp
+++ b/src/ledger/mirror.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -52,6 +53,8 @@
 
   [[nodiscard]] const Job* job(const std::string& id) const;
   [[nodiscard]] const std::map<std::string, Job>& jobs() const { return jobs_; }
+  /// Unfinished jobs that bear a cancel mark.
+  [[nodiscard]] const std::set<std::string>& cancelled() const { return cancelled_; }
   [[nodiscard]] const std::map<std::uint32_t, Block>* blocks(const std::string& id) const;
   [[nodiscard]] const std::map<std::string, Host>& hosts() const { return hosts_; }
   [[nodiscard]] const std::map<std::uint32_t, Slot>& slots() const { return slots_; }
@@ -86,6 +89,7 @@
   std::uint64_t lead_stamp_ = 0;
   std::optional<Value> types_;
   std::map<std::string, Job> jobs_;
+  std::set<std::string> cancelled_;
   std::unordered_map<std::string, std::map<std::uint32_t, Block>> blocks_;
   std::map<std::string, Host> hosts_;
   std::map<std::uint32_t, Slot> slots_;
--- a/src/mesh/messages.hpp
+++ b/src/mesh/messages.hpp
@@ -45,7 +45,15 @@
   void serialize(Archive& archive) { archive(id, status, body); }
 };
 
-using Message = std::variant<Beat, ForwardedReport, ForwardedReply>;
+/// The sender has recorded that this job is cancelled. The records tell too;
+/// this is sooner, and reaches those that the state service refuses.
+struct Cancelled {
+  std::string job;
+  template <class Archive>
+  void serialize(Archive& archive) { archive(job); }
+};
+
+using Message = std::variant<Beat, ForwardedReport, ForwardedReply, Cancelled>;
 
 [[nodiscard]] std::string encode(const Message& message);
 /// Throws std::exception on bad input.
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -1,37 +1,18 @@
 // The real engine against the plain world, one trouble at a time.
 #include <gtest/gtest.h>
 
-#include "support/jobs.hpp"
-#include "support/world.hpp"
+#include "support/scenes.hpp"
 
 namespace elmstall::test {
 namespace {
 
 using wire::JobState;
 
-wire::JobSpec service(int number, std::uint32_t tasks) {
-  auto job = array(number, tasks);
-  job.kind = wire::JobKind::service;
-  job.priority = wire::Priority::critical;
-  job.lane = "live";
-  job.spot = false;
-  job.scatter = true;
-  job.expect_s = 0;
-  return job;
-}
-
-void expect_rules(const World& world) {
-  EXPECT_TRUE(world.rules.broken().empty()) << world.rules.broken().front();
+void expect_rules_and_starts(const World& world) {
+  expect_rules(world);
   EXPECT_GT(world.rules.starts(), 0U);
 }
 
-/// What a user who asks now is told.
-std::optional<JobState> told(World& world, const std::string& id) {
-  world.poll(id);
-  world.run_until(world.loop.now() + 2);
-  return world.last_told(id);
-}
-
 std::size_t running(World& world, const std::string& id) {
   auto* node = world.leader();
   if (node == nullptr) return 0;
@@ -49,7 +30,7 @@
   world.submit(array(1, 60, 2));
   world.run_until(200);
   EXPECT_EQ(told(world, "job-1"), JobState::done);
-  expect_rules(world);
+  expect_rules_and_starts(world);
   // Nothing of it is left but the last word.
   ASSERT_NE(world.leader(), nullptr);
   EXPECT_EQ(world.leader()->mirror().blocks("job-1"), nullptr);
@@ -66,7 +47,7 @@
   world.run_until(75);
   EXPECT_EQ(running(world, "job-1"), 0U);
   EXPECT_EQ(told(world, "job-1"), JobState::cancelled);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 TEST(Engine, AGangStartsWholeOrNotAtAll) {
@@ -81,7 +62,7 @@
     most = std::max(most, now);
   }
   EXPECT_EQ(most, 4U);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 TEST(Engine, HigherPriorityMakesRoom) {
@@ -99,7 +80,7 @@
   world.run_until(55);
   EXPECT_EQ(running(world, "job-2"), 2U);
   EXPECT_EQ(running(world, "job-1"), 2U);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// Guaranteed idle work and another team's work of high priority once
@@ -121,7 +102,7 @@
   const auto before = world.state.revision();
   world.run_until(80);
   EXPECT_LT(world.state.revision(), before + 20);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 TEST(Engine, TheTeamsLimitHoldsAndTheRestWaits) {
@@ -137,7 +118,7 @@
   EXPECT_EQ(most, 8U);
   world.run_until(150);
   EXPECT_EQ(told(world, "job-1"), JobState::done);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 TEST(Engine, WhatCanNeverRunIsRefusedAtOnce) {
@@ -187,7 +168,7 @@
   EXPECT_GE(world.rules.starts(), before);
   world.run_until(150);
   EXPECT_EQ(told(world, "job-2"), JobState::done);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// Safety rule 10: restarts may be instant.
@@ -203,7 +184,7 @@
   EXPECT_EQ(world.leader()->leader()->term(), term + 1);
   world.run_until(60);
   EXPECT_EQ(running(world, "job-1"), 2U);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// Safety rules 2 and 5: told of a higher term, a leader stops at once.
@@ -221,7 +202,7 @@
   ASSERT_NE(world.leader(), nullptr);
   world.run_until(80);
   EXPECT_EQ(running(world, "job-1"), 4U);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// Safety rule 5: without the state service reports are answered only for as
@@ -239,7 +220,7 @@
   world.state_down(false);
   world.run_until(110);
   EXPECT_EQ(running(world, "job-1"), 2U);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// Safety rule 7: what may be on machines out of touch counts for the quota.
@@ -263,7 +244,7 @@
   EXPECT_DOUBLE_EQ(model.usage("red").gpus, 8);
   EXPECT_EQ(model.job("job-2")->on_hosts, 0U);
   world.run_until(120);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// Safety rule 8: at whatever moment a cancellation comes, with starts planned,
@@ -291,7 +272,7 @@
   world.run_until(30);
   EXPECT_EQ(running(world, "job-1"), 4U);
   EXPECT_LE(world.workers.size(), 4U);  // two for the tasks, headroom, rounding
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// Safety rule 6: what is on a silent machine is gone when its lease is over,
@@ -309,7 +290,7 @@
   }
   world.run_until(200);
   EXPECT_EQ(told(world, "job-1"), JobState::done);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// Safety rules 3 and 6: late reports from former sessions, which a new leader
@@ -334,7 +315,7 @@
   for (auto& [id, worker] : world.workers) worker->cut = false;
   world.run_until(60);
   EXPECT_EQ(running(world, "job-1"), 2U);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// The caretaker: a cut between the zones, longer than a lease.
@@ -350,7 +331,7 @@
   world.run_until(90);
   EXPECT_EQ(running(world, "job-1"), 4U);
   EXPECT_EQ(world.rules.starts(), starts) << "no replica was lost to the cut";
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 /// A cancellation during the cut: the caretaker stops its tasks.
@@ -364,7 +345,7 @@
   world.run_until(95);  // checked all the time: nothing is left after 40 s
   world.part_zones(false);
   world.run_until(110);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 TEST(Forwarding, ALeaderWithoutWorkersIsReachedThroughTheOthers) {
@@ -378,7 +359,7 @@
   world.run_until(90);
   EXPECT_EQ(running(world, "job-1"), 2U);
   EXPECT_LE(world.rules.starts(), starts + 2);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 TEST(FaultyMachine, IsPutAsideWhenTasksOfSeveralJobsFailThere) {
@@ -391,7 +372,7 @@
   for (int i = 1; i <= 4; ++i) world.poll("job-" + std::to_string(i));
   world.run_until(152);
   for (int i = 1; i <= 4; ++i) EXPECT_EQ(world.last_told("job-" + std::to_string(i)), JobState::done);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 TEST(StateOutage, PollsGetNoGuesses) {
@@ -432,7 +413,7 @@
   EXPECT_GT(running(world, "job-1"), 2U);
   ASSERT_NE(world.leader(), nullptr);
   EXPECT_LT(world.leader()->leader()->model().job("job-1")->blocks.size(), 200U);
-  expect_rules(world);
+  expect_rules_and_starts(world);
 }
 
 }  // namespace
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -36,7 +36,7 @@
 TEST_F(RulesTest, RanTwice) {
   auto& rules = fresh(job_);
   rules.on_machine(1, "job-1", 0, here_);
-  rules.off_machine("job-1", 0, "host-1");
+  rules.off_machine(0, "job-1", 0, "host-1");
   rules.on_machine(2, "job-1", 0, there_);
   EXPECT_TRUE(rules.broken().empty());
   rules.on_machine(3, "job-1", 0, here_);
--- a/tests/support/fake_state.cpp
+++ b/tests/support/fake_state.cpp
@@ -121,13 +121,21 @@
     });
   };
   if (state_.down || road.refused) return answer(0.003, std::move(unavailable));
+  if (may_be_late && chance(road.late_writes)) {
+    answer(1.5, std::move(lost));
+    loop_.after(2 + 10 * std::uniform_real_distribution<double>(0, 1)(random_), [this, execute] {
+      if (!state_.down) (void)execute();
+    });
+    return;
+  }
   if (chance(road.lost)) {
     answer(1.5, std::move(lost));
     if (chance(0.5)) loop_.after(0.002, [execute] { (void)execute(); });  // carried out, the answer lost
     else if (may_be_late && chance(road.late)) loop_.after(20 + 60 * std::uniform_real_distribution<double>(0, 1)(random_), [execute] { (void)execute(); });
     return;
   }
-  loop_.after(0.002, [this, execute, answer, unavailable] { answer(0.002, state_.down ? unavailable : execute()); });
+  const double slow = road.slow * std::uniform_real_distribution<double>(0, 1)(random_);
+  loop_.after(0.002 + slow / 2, [this, execute, answer, unavailable, slow] { answer(0.002 + slow / 2, state_.down ? unavailable : execute()); });
 }
 
 void FakeStore::get(const std::string& key, std::function<void(ledger::GetResult)> done) {
--- a/tests/support/fake_state.hpp
+++ b/tests/support/fake_state.hpp
@@ -58,6 +58,8 @@
     bool refused = false;       ///< 503 to this node alone
     double lost = 0;            ///< share of requests without an answer
     double late = 0;            ///< share of lost commits applied much later
+    double late_writes = 0;     ///< share of commits without an answer, applied 2 to 12 s later
+    double slow = 0;            ///< seconds that each answer takes longer, at most
   };
   std::size_t gets = 0;  ///< single keys asked for
   FakeStore(VirtualLoop& loop, FakeState& state, unsigned seed) : loop_(loop), state_(state), random_(seed) {}
--- a/tests/support/rules.cpp
+++ b/tests/support/rules.cpp
@@ -62,10 +62,52 @@
   if (spec.scatter && zones[place.zone] > sched::scatter_limit(spec.tasks)) fail("wrong_place", name + " too many in one zone");
   const auto* team = settings_.team(spec.team);
   if (team == nullptr || !sched::within_limit(*team, used)) fail("quota", name);
-  if (const auto told = cancelled_.find(job); told != cancelled_.end() && now > told->second + settings_.cancel_s) fail("ran_cancelled", name + " started");
+  if (const auto told = cancelled_.find(job); told != cancelled_.end()) {
+    ++late_starts_;
+    if (now > told->second + settings_.cancel_s) fail("ran_cancelled", name + " started");
+  }
+}
+
+void Rules::off_machine(double now, const std::string& job, std::uint32_t index, const std::string& host) {
+  if (where_[{job, index}].erase(host) == 0) return;
+  // To the moment, not to the half second of `check_time`.
+  const auto told = cancelled_.find(job);
+  if (told != cancelled_.end() && now > told->second + settings_.cancel_s) fail("ran_cancelled", wire::task_name(job, index) + " was there too long");
+}
+
+std::size_t Rules::present(const std::string& job) const {
+  return static_cast<std::size_t>(std::count_if(where_.begin(), where_.end(), [&](const auto& one) { return one.first.first == job && !one.second.empty(); }));
+}
+
+std::size_t Rules::completed_tasks(const std::string& job) const {
+  const auto found = done_.find(job);
+  return found == done_.end() ? 0 : found->second.size();
+}
+
+sched::Amount Rules::used_on(const std::string& host) const {
+  sched::Amount used;
+  for (const auto& [task, places] : where_) {
+    if (!places.contains(host)) continue;
+    const auto& spec = specs_.at(task.first);
+    used += {spec.cpus, spec.gpus, spec.memory_gb};
+  }
+  return used;
 }
 
-void Rules::off_machine(const std::string& job, std::uint32_t index, const std::string& host) { where_[{job, index}].erase(host); }
+sched::Amount Rules::used_by(const std::string& team) const {
+  sched::Amount used;
+  for (const auto& [task, places] : where_) {
+    const auto& spec = specs_.at(task.first);
+    if (!places.empty() && spec.team == team) used += {spec.cpus, spec.gpus, spec.memory_gb};
+  }
+  return used;
+}
+
+std::size_t Rules::in_zone(const std::string& job, const std::string& zone) const {
+  return static_cast<std::size_t>(std::count_if(where_.begin(), where_.end(), [&](const auto& one) {
+    return one.first.first == job && !one.second.empty() && one.second.begin()->second.zone == zone;
+  }));
+}
 
 void Rules::check_time(double now) {
   for (const auto& [task, places] : where_) {
--- a/tests/support/rules.hpp
+++ b/tests/support/rules.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "config/settings.hpp"
+#include "sched/resources.hpp"
 #include "wire/types.hpp"
 
 namespace elmstall::test {
@@ -36,12 +37,23 @@
 
   // What happens on machines.
   void on_machine(double now, const std::string& job, std::uint32_t index, const Place& place);
-  void off_machine(const std::string& job, std::uint32_t index, const std::string& host);
+  void off_machine(double now, const std::string& job, std::uint32_t index, const std::string& host);
   void completed(const std::string& job, std::uint32_t index) { done_[job].insert(index); }
   void check_time(double now);
 
   [[nodiscard]] const std::vector<std::string>& broken() const { return broken_; }
   [[nodiscard]] std::size_t starts() const { return starts_; }
+  /// Starts after the user was told that the job is cancelled: within
+  /// `cancel_s` no rule is broken, but nobody wants them.
+  [[nodiscard]] std::size_t late_starts() const { return late_starts_; }
+  /// Tasks of the job that are on a machine now.
+  [[nodiscard]] std::size_t present(const std::string& job) const;
+  [[nodiscard]] std::size_t completed_tasks(const std::string& job) const;
+  [[nodiscard]] bool over(const std::string& job) const { return final_.contains(job); }
+  /// What the tasks on this machine take, and those of this team.
+  [[nodiscard]] sched::Amount used_on(const std::string& host) const;
+  [[nodiscard]] sched::Amount used_by(const std::string& team) const;
+  [[nodiscard]] std::size_t in_zone(const std::string& job, const std::string& zone) const;
   [[nodiscard]] std::size_t accepted() const { return accepted_.size(); }
   [[nodiscard]] std::size_t finished() const;
   [[nodiscard]] std::vector<std::string> accepted_jobs() const;
@@ -61,6 +73,7 @@
   std::map<Task, std::map<std::string, Place>> where_;
   std::vector<std::string> broken_;
   std::size_t starts_ = 0;
+  std::size_t late_starts_ = 0;
 };
 
 }  // namespace elmstall::test
--- a/tests/support/virtual_time.hpp
+++ b/tests/support/virtual_time.hpp
@@ -32,15 +32,16 @@
 /// The runtime of one process; nothing of it runs once the process is dead.
 class VirtualRuntime : public engine::Runtime {
  public:
-  VirtualRuntime(VirtualLoop& loop, unsigned seed) : loop_(loop), random_(seed) {}
-  [[nodiscard]] double now() const override { return loop_.now(); }
+  /// `rate`: how fast its steady clock runs.
+  VirtualRuntime(VirtualLoop& loop, unsigned seed, double rate = 1) : loop_(loop), random_(seed), rate_(rate) {}
+  [[nodiscard]] double now() const override { return loop_.now() * rate_; }
   [[nodiscard]] double wall() const override { return 1.7e9 + loop_.now(); }
   [[nodiscard]] double random() override { return std::uniform_real_distribution<double>(0, 1)(random_); }
   void after(double seconds, std::function<void()> fn) override {
-    loop_.after(seconds, [this, alive = std::weak_ptr<char>(alive_), fn = std::move(fn)]() mutable {
+    loop_.after(seconds / rate_, [this, alive = std::weak_ptr<char>(alive_), fn = std::move(fn)]() mutable {
       if (alive.expired()) return;
       // Clocks run on while the process stands still; what piled up comes after.
-      if (loop_.now() < frozen_until_) return after(frozen_until_ - loop_.now(), std::move(fn));
+      if (loop_.now() < frozen_until_) return after((frozen_until_ - loop_.now()) * rate_, std::move(fn));
       fn();
     });
   }
@@ -50,6 +51,7 @@
  private:
   VirtualLoop& loop_;
   std::mt19937 random_;
+  double rate_;
   double frozen_until_ = -1;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -20,7 +20,7 @@
 
 void FakeWorker::die() {
   dead_ = true;
-  for (const auto& [name, task] : tasks_) world_.rules.off_machine(name.first, name.second, id_);
+  for (const auto& [name, task] : tasks_) world_.rules.off_machine(world_.loop.now(), name.first, name.second, id_);
   tasks_.clear();
 }
 
@@ -37,6 +37,15 @@
 
 bool FakeWorker::hung() const { return world_.loop.now() < hung_until_; }
 
+sched::Amount FakeWorker::fetching() const {
+  sched::Amount taken;
+  for (const auto& [name, task] : tasks_) {
+    const auto* job = world_.spec(name.first);
+    if (task.state == TaskState::fetching && job != nullptr) taken += {job->cpus, job->gpus, job->memory_gb};
+  }
+  return taken;
+}
+
 bool FakeWorker::later(std::function<void()> fn) {
   if (!hung()) return false;
   world_.loop.at(hung_until_, std::move(fn));
@@ -54,14 +63,14 @@
 }
 
 void FakeWorker::expire() {
-  if (world_.loop.now() - lease_from_ <= world_.settings.lease_s) return;
+  if ((world_.loop.now() - lease_from_) * clock <= world_.settings.lease_s) return;
   forget_all();
   ++session_;
   lease_from_ = world_.loop.now();
 }
 
 void FakeWorker::forget_all() {
-  for (const auto& [name, task] : tasks_) world_.rules.off_machine(name.first, name.second, id_);
+  for (const auto& [name, task] : tasks_) world_.rules.off_machine(world_.loop.now(), name.first, name.second, id_);
   tasks_.clear();
 }
 
@@ -96,7 +105,7 @@
     node_ = (node + 1) % world_.node_count();
     next_report(1.0);
   });
-  const bool lost = cut || !world_.reachable(node, zone_) || world_.random() < world_.loss;
+  const bool lost = cut || mute || !world_.reachable(node, zone_) || world_.random() < world_.loss;
   net::Request request{"POST", "/v1/report", wire::encode_report(report)};
   if (lost) {
     // Half of what gets stuck arrives much later, when nobody waits for it.
@@ -106,7 +115,7 @@
     return;
   }
   if (world_.random() < copies) {
-    world_.loop.after(2 + 40 * world_.random(), [this, node, request] { world_.send_to_node(node, request, [](const net::Response&) {}); });
+    world_.loop.after(copy_after > 0 ? copy_after : 2 + 40 * world_.random(), [this, node, request] { world_.send_to_node(node, request, [](const net::Response&) {}); });
   }
   const double delay = 0.001 + 0.003 * world_.random();
   world_.loop.after(delay, [this, tick, sent, node, request] {
@@ -212,7 +221,7 @@
 
 void FakeWorker::end(const Name& name, EndCause cause, bool saved) {
   auto& task = tasks_.at(name);
-  if (task.state != TaskState::fetching) world_.rules.off_machine(name.first, name.second, id_);
+  if (task.state != TaskState::fetching) world_.rules.off_machine(world_.loop.now(), name.first, name.second, id_);
   task.state = TaskState::ended;
   task.cause = cause;
   task.saved = saved;
@@ -236,6 +245,10 @@
     world_.loop.at(worker->hung_until() + 0.001, [carry_out] { (void)carry_out(); });
     return give_up(Outcome::unknown);
   }
+  if (world_.hold_orders > 0) {
+    world_.loop.after(world_.hold_orders, [carry_out] { (void)carry_out(); });
+    return give_up(Outcome::unknown);
+  }
   if (lost) {
     if (world_.random() < 0.4) return give_up(Outcome::never);
     // Held on the way, and executed whenever the way is free again.
@@ -374,7 +387,7 @@
 void World::boot(std::size_t index) {
   auto& process = nodes_[index];
   const auto seed = static_cast<unsigned>(generator());
-  process.runtime = std::make_unique<VirtualRuntime>(loop, seed);
+  process.runtime = std::make_unique<VirtualRuntime>(loop, seed, clocks_.contains(index) ? clocks_[index] : 1);
   const auto road = process.store ? process.store->road : FakeStore::Road{};
   if (process.store) old_stores_.push_back(std::move(process.store));
   process.store = std::make_unique<FakeStore>(loop, state, seed + 1);
@@ -512,6 +525,47 @@
   });
 }
 
+bool World::cancel_at(std::size_t node, const std::string& id, double patience) {
+  rules.cancel_asked(id);
+  const double asked = loop.now();
+  auto cancelled = std::make_shared<bool>(false);
+  send_to_node(node, {"POST", "/api/jobs/" + id + "/cancel", {}}, [this, id, asked, cancelled](const net::Response& response) {
+    if (response.status == 404) return rules.told_missing(id, asked);
+    if (response.status != 200) return;
+    const auto state = wire::decode_status(wire::Document::parse(response.body).root()).state;
+    told_[id] = state;
+    rules.told_status(loop.now(), id, state, asked);
+    *cancelled = state == wire::JobState::cancelled;
+  });
+  run_until(loop.now() + patience);
+  return *cancelled;
+}
+
+std::vector<std::string> World::waiting_beside_room() const {
+  std::vector<std::string> waiting;
+  for (const auto& id : rules.accepted_jobs()) {
+    const auto& job = specs_.at(id);
+    const auto there = rules.present(id);
+    if (rules.over(id) || there + rules.completed_tasks(id) >= job.tasks) continue;
+    const sched::Amount need{job.cpus, job.gpus, job.memory_gb};
+    const auto* team = settings.team(job.team);
+    // A gang needs room for all that wait at once.
+    if (job.kind == wire::JobKind::gang || !sched::within_limit(*team, rules.used_by(job.team) + need)) continue;
+    const bool room = std::any_of(workers.begin(), workers.end(), [&](const auto& entry) {
+      const auto& worker = *entry.second;
+      if (worker.dead() || worker.cut || worker.deaf || worker.mute || worker.hung() || !worker.reports()) return false;
+      if ((worker.spot() && !job.spot) || (job.zone && *job.zone != worker.zone())) return false;
+      const auto same = rules.in_zone(id, worker.zone());
+      if (job.together && same != there) return false;
+      if (job.scatter && same + 1 > sched::scatter_limit(job.tasks)) return false;
+      const auto& type = flavors.front();
+      return need.fits(sched::Amount{type.cpus, type.gpus, type.memory_gb} - rules.used_on(worker.id()) - worker.fetching());
+    });
+    if (room) waiting.push_back(id);
+  }
+  return waiting;
+}
+
 void World::poll(const std::string& id) {
   ask(pick(nodes_.size()), "GET", "/api/jobs/" + id, {}, 2, [this, id, asked = loop.now()](const std::optional<net::Response>& response) {
     if (response && response->status == 404) return rules.told_missing(id, asked);
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -30,10 +30,17 @@
   /// Stands still with all its tasks, and goes on later.
   void hang(double seconds);
   [[nodiscard]] bool hung() const;
+  /// It is up and has reported.
+  [[nodiscard]] bool reports() const { return tick_ > 0; }
+  /// What its tasks take that wait for their image.
+  [[nodiscard]] sched::Amount fetching() const;
   [[nodiscard]] double hung_until() const { return hung_until_; }
   bool cut = false;  ///< from every node
   bool deaf = false; ///< its reports arrive, but neither answers nor commands reach it
+  bool mute = false; ///< it reaches no node, while direct commands reach it
   double copies = 0; ///< share of its reports of which a copy comes late
+  double copy_after = 0;  ///< seconds; 0: somewhere between 2 and 42
+  double clock = 1;  ///< how fast its steady clock runs
   std::optional<double> recall_at;
   double fail_share = 0;  ///< of its tasks, for a faulty machine
 
@@ -119,6 +126,8 @@
   /// Cuts a zone off from everything outside it, the state service too.
   void cut_zone(const std::string& zone, bool cut);
   void freeze(std::size_t node, double seconds) { nodes_[node].runtime->freeze(seconds); }
+  /// The node's processes from now on have a steady clock that runs like this.
+  void set_clock(std::size_t node, double rate) { clocks_[node] = rate; }
   void cut_mesh(std::size_t node, bool cut) { mesh_cut_[node] = cut; }
   void cut_workers(std::size_t node, bool cut) { worker_cut_[node] = cut; }
   void state_down(bool down);
@@ -128,6 +137,11 @@
   void expect(const wire::JobSpec& spec);
   void submit(const wire::JobSpec& spec);
   void cancel(const std::string& id);
+  /// Through this node, once; true if the user was told that it is cancelled.
+  bool cancel_at(std::size_t node, const std::string& id, double patience = 0.3);
+  /// Accepted jobs that wait though a machine that fits has room and their team
+  /// is under its limit.
+  [[nodiscard]] std::vector<std::string> waiting_beside_room() const;
   void poll(const std::string& id);
   [[nodiscard]] std::optional<wire::JobState> last_told(const std::string& id) const;
   /// When a poll for it was last answered; before all time if never.
@@ -160,6 +174,7 @@
   /// Instead of nodes of its own: the world's workers report through this.
   std::function<void(std::size_t node, net::Request, net::Responder)> carry;
   std::size_t outside_nodes = 0;
+  double hold_orders = 0;  ///< orders sent straight to workers are carried out so many seconds later
   bool lose_replies = false;  ///< orders sent straight to workers are carried out without an answer
   bool no_direct = false;  ///< orders sent straight to workers get nowhere
   double loss = 0;  ///< share of workers' and users' messages lost
@@ -185,6 +200,7 @@
   /// Ways of dead processes: what they sent is still under way.
   std::vector<std::unique_ptr<FakeStore>> old_stores_;
   std::map<std::size_t, bool> mesh_cut_, worker_cut_;
+  std::map<std::size_t, double> clocks_;
   bool zones_apart_ = false;
   std::set<std::string> zones_cut_;
   std::map<std::string, wire::JobSpec> specs_;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -2,58 +2,13 @@
 // orders that go straight to the workers.
 #include <gtest/gtest.h>
 
-#include "support/jobs.hpp"
-#include "support/world.hpp"
+#include "support/scenes.hpp"
 
 namespace elmstall::test {
 namespace {
 
 using wire::JobState;
 
-std::size_t placed(World& world, const std::string& id) {
-  auto* node = world.leader();
-  auto* job = node == nullptr ? nullptr : node->leader()->model().job(id);
-  return job == nullptr ? 0 : job->on_hosts;
-}
-
-FakeWorker* worker_of(World& world, const std::string& job) {
-  auto* node = world.leader();
-  if (node == nullptr) return nullptr;
-  for (auto& [id, host] : node->leader()->model().hosts()) {
-    for (const auto* task : host->tasks) {
-      if (task->job->id == job) return world.workers.at(id).get();
-    }
-  }
-  return nullptr;
-}
-
-std::size_t leader_index(World& world) {
-  for (std::size_t i = 0; i < world.node_count(); ++i) {
-    if (world.node(i) != nullptr && world.node(i) == world.leader()) return i;
-  }
-  ADD_FAILURE() << "nobody leads";
-  return 0;
-}
-
-/// Until a controller of the north leads: every second node is of the south.
-void lead_from_north(World& world) {
-  for (int i = 0; i < 8 && leader_index(world) % 2 == 1; ++i) {
-    world.crash(leader_index(world), 6);
-    world.run_until(world.loop.now() + 8);
-  }
-  ASSERT_EQ(leader_index(world) % 2, 0U);
-}
-
-wire::JobSpec array_in(const char* zone, int number, std::uint32_t tasks, double expect_s) {
-  auto job = array(number, tasks, expect_s);
-  job.zone = zone;
-  return job;
-}
-
-void expect_rules(const World& world) {
-  EXPECT_TRUE(world.rules.broken().empty()) << world.rules.broken().front();
-}
-
 // --- direct orders (safety rules 2 and 4) -------------------------------------------
 
 /// Reports are 10 s apart on large sites: a start must not wait for one.
