Tests of meetings that fail when their guard is taken out

Starts on old knowledge, a held run under a caretaker, mute machines that get replies, a candidacy that wins late and commits while the copy is read anew passed without their guards before.

--- a/tests/committer_test.cpp
+++ b/tests/committer_test.cpp
@@ -174,12 +174,16 @@
 TEST_F(CommitterTest, NothingIsWrittenWhileTheCopyIsReadAnew) {
   for (int i = 0; i < 30; ++i) change(add_block(i));
   run(5);
-  for (int round = 0; round < 40; ++round) {
+  std::mt19937 random(4);
+  for (int round = 0; round < 150; ++round) {
     mirror_.restart();
-    auto page = state_.list(std::string(ledger::kLive), "", 3).listing;
+    const auto page = state_.list(std::string(ledger::kLive), "", 20).listing;
     ASSERT_TRUE(page.truncated);
     mirror_.load(page);
-    change(blocks_.at("job-0"));
+    for (int i = 0; i < 5; ++i) {
+      auto& block = std::next(blocks_.begin(), static_cast<std::ptrdiff_t>(random() % 20))->second;
+      change(block);
+    }
     for (int i = 0; i < 4; ++i) {
       committer_->flush();
       loop_.run_until(loop_.now() + 0.1);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -140,25 +140,32 @@
 /// has just cancelled through another controller is not started any more.
 TEST(MeetingGap, NothingIsStartedOnKnowledgeThatMayBeOutOfDate) {
   World world(1410);
-  world.cloud.capacity = 1;
-  world.submit(array(1, 2, 12));  // takes the machine
-  world.run_until(20);
-  world.submit(array(2, 2, 3000));
-  world.no_direct = true;  // the orders wait for a report
-  world.run_until(24);
+  world.cloud.capacity = 4;
+  world.submit(array(1, 8, 8));
+  world.run_until(15);
+  world.no_direct = true;  // orders go with answers to reports
+  world.submit(array(2, 8, 3000));
+  while (placed(world, "job-2") == 0 && world.loop.now() < 60) world.run_until(world.loop.now() + 0.05);
+  auto* worker = worker_of(world, "job-2");
+  ASSERT_NE(worker, nullptr);
+  for (auto& [id, one] : world.workers) one->cut = true;  // we speak for them
+  world.run_until(world.loop.now() + 3);  // recorded, and the direct way has failed
   const auto lead = leader_index(world);
   refuse_state(world, lead, true);
   world.cut_mesh(lead, true);
-  world.run_until(24.5);
+  const auto* host = world.leader()->leader()->model().find_host(worker->id());
+  const auto starts_told = [&] {
+    wire::Report report{worker->id(), worker->id(), "m12", worker->zone(), worker->spot(), host->session, host->tick + 100, host->fence + world.node(lead)->leader()->token(), std::nullopt, {}};
+    const auto answer = world.answer_of(lead, {"POST", "/v1/report", wire::encode_report(report)}, 0.05);
+    if (!answer || answer->status != 200) return -1;
+    const auto orders = wire::decode_orders(wire::Document::parse(answer->body).root()).orders;
+    return static_cast<int>(std::count_if(orders.begin(), orders.end(), [](const auto& order) { return order.verb == wire::Verb::run; }));
+  };
+  EXPECT_GT(starts_told(), 0) << "just proved";
   ASSERT_TRUE(world.cancel_at((lead + 1) % 3, "job-2"));
   world.state_down(true);
-  world.run_until(120);
-  world.state_down(false);
-  refuse_state(world, lead, false);
-  world.cut_mesh(lead, false);
-  world.run_until(170);
-  EXPECT_LE(world.rules.late_starts(), 0U);
-  expect_rules(world);
+  world.run_until(world.loop.now() + 5);
+  EXPECT_EQ(starts_told(), 0) << "its lease is renewed, but nothing starts";
 }
 
 /// In an outage that all see nobody confirms anything, so work that is recorded
@@ -224,15 +231,17 @@
   lead_from_north(world);
   ASSERT_EQ(placed(world, "job-1"), 3U);
   world.hold_orders = 70;
-  world.submit(array_in("south", 2, 1, 3000));
+  auto held = array_in("south", 2, 1, 3000);
+  held.image_gb = 0;  // runs as soon as it is told to
+  world.submit(held);
   for (int i = 0; i < 200 && placed(world, "job-2") == 0; ++i) world.run_until(world.loop.now() + 0.02);
   world.run_until(world.loop.now() + 0.4);  // the exchange is under way
-  world.cut_mesh(1, true);                  // the only controller of the south
+  world.part_zones(true);
   world.run_until(world.loop.now() + 8);
   ASSERT_FALSE(world.node(1)->mirror().cares().empty()) << "in care";
   world.cancel("job-2");
   world.run_until(world.loop.now() + 70);
-  world.cut_mesh(1, false);
+  world.part_zones(false);
   world.hold_orders = 0;
   world.run_until(world.loop.now() + 60);
   EXPECT_EQ(told(world, "job-2"), JobState::cancelled);
@@ -282,26 +291,32 @@
 /// once counted as a report, and what was started there died with its lease.
 TEST(MeetingMute, NothingIsStartedOnAMachineThatCanNotReport) {
   World world(1700);
-  world.cloud.capacity = 8;
-  world.submit(array(1, 6, 3000));
+  world.cloud.capacity = 2;
+  world.submit(array(1, 3, 3000));  // leaves room on one machine
   world.run_until(45);
-  auto* worker = worker_of(world, "job-1");
-  ASSERT_NE(worker, nullptr);
+  ASSERT_EQ(placed(world, "job-1"), 3U);
+  auto& hosts = world.leader()->leader()->model().hosts();
+  const auto found = std::find_if(hosts.begin(), hosts.end(), [](const auto& entry) { return entry.second->tasks.size() == 1; });
+  ASSERT_NE(found, hosts.end());
+  const auto* host = found->second.get();
+  auto* worker = world.workers.at(host->id).get();
   worker->mute = true;
-  world.run_until(70);  // its lease is over
-  EXPECT_EQ(placed(world, "job-1"), 6U) << "elsewhere";
-  const auto starts = world.rules.starts();
   world.cloud.down = true;  // it stays for now
-  for (int i = 2; i < 10; ++i) {
-    world.submit(array(i, 2, 4));
-    world.run_until(world.loop.now() + 5);
+  const double at = world.loop.now();
+  for (int i = 2; i < 9; ++i) {
+    auto job = array(i, 1, 2);
+    job.image_gb = 0;
+    world.submit(job);
+    world.run_until(at + 2 * i);
+    // Silent by now; what ran there ends with its lease.
+    if (world.loop.now() > at + 11) {
+      EXPECT_TRUE(host->tasks.empty()) << world.loop.now() - at;
+    }
   }
-  auto* host = world.leader()->leader()->model().find_host(worker->id());
-  EXPECT_TRUE(host == nullptr || host->tasks.empty());
-  EXPECT_LE(world.rules.starts(), starts + 16) << "no start was wasted";
   world.cloud.down = false;
-  world.run_until(world.loop.now() + 40);
+  world.run_until(at + 60);
   EXPECT_TRUE(worker->dead()) << "returned, for it stays so";
+  EXPECT_EQ(placed(world, "job-1"), 3U);
   expect_rules(world);
 }
 
@@ -363,27 +378,24 @@
 /// record hangs on, and stays.
 TEST(MeetingLateWrites, ACandidacyThatWinsLateKeepsItsOwnLease) {
   std::size_t late_wins = 0;
-  for (unsigned seed = 1; seed <= 40; ++seed) {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
     World world(1850 + seed);
     world.run_until(5);
-    // Everybody stands anew, and the first transactions go astray.
+    // All stand anew, and their transactions are applied after they were given
+    // up, a little before the leases end that they hang on.
     for (std::size_t i = 0; i < 3; ++i) world.crash(i, 0.01);
     world.run_until(5.02);
-    all_late_writes(world, 0.8);
-    world.run_until(7 + 0.1 * seed);
-    all_late_writes(world, 0);
-    for (int i = 0; i < 60 && world.leader() == nullptr; ++i) world.run_until(world.loop.now() + 0.25);
-    ASSERT_NE(world.leader(), nullptr) << seed;
-    const auto& lead = *world.leader()->mirror().lead();
-    late_wins += lead.incarnation.ends_with("/1") ? 0 : 1;
-    world.run_until(world.loop.now() + 15);  // whatever is still to be applied
+    for (std::size_t i = 0; i < 3; ++i) world.store(i).road = {false, 0, 0, 1, 1.9 + 0.04 * seed};
+    while (world.leader() == nullptr && world.loop.now() < 20) world.run_until(world.loop.now() + 0.05);
+    for (std::size_t i = 0; i < 3; ++i) world.store(i).road = {};
     ASSERT_NE(world.leader(), nullptr) << seed;
+    late_wins += world.loop.now() < 8;
     const auto term = world.leader()->leader()->term();
     world.run_until(world.loop.now() + 20);
     ASSERT_NE(world.leader(), nullptr) << seed;
     EXPECT_EQ(world.leader()->leader()->term(), term) << seed;
   }
-  EXPECT_GT(late_wins, 0U) << "some candidacy was repeated";
+  EXPECT_GT(late_wins, 0U);
 }
 
 // --- everybody away ------------------------------------------------------------------------------------
--- a/tests/support/fake_state.cpp
+++ b/tests/support/fake_state.cpp
@@ -124,7 +124,7 @@
   if (state_.down || road.refused) return answer(0.003, std::move(unavailable));
   if (may_be_late && chance(road.late_writes)) {
     answer(1.5, std::move(lost));
-    loop_.after(2 + 10 * std::uniform_real_distribution<double>(0, 1)(random_), [this, execute] {
+    loop_.after(road.late_by > 0 ? road.late_by : 2 + 10 * std::uniform_real_distribution<double>(0, 1)(random_), [this, execute] {
       if (!state_.down) (void)execute();
     });
     return;
--- a/tests/support/troubles.cpp
+++ b/tests/support/troubles.cpp
@@ -102,7 +102,7 @@
 }
 
 void lossy_state(World& world, std::size_t node, double length) {
-  world.store(node).road = {false, 0.2, 0.5, 0, 0};
+  world.store(node).road = {false, 0.2, 0.5};
   later(world, length, [&world, node] { world.store(node).road = {}; });
 }
 
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -194,7 +194,8 @@
     task.cause = EndCause::no_room;
     return changed();
   }
-  world_.loop.after(0.5 + spec->image_gb, [this, name, serial = serial_] { running(name, serial); });
+  // Without an image to fetch it runs at once.
+  world_.loop.after(spec->image_gb > 0 ? 0.5 + spec->image_gb : 0, [this, name, serial = serial_] { running(name, serial); });
 }
 
 void FakeWorker::running(const Name& name, std::uint64_t serial) {
