--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -68,6 +68,36 @@
   for (int step = 0; step < 12; ++step) play_gap(1000 + static_cast<unsigned>(step), 0.005 + step * 0.1, false, 0);
 }
 
+/// The bound at its edges: the refusal begins at every moment of a proof's
+/// second, the confirmation follows within milliseconds, and the clocks of the
+/// leader and of the machines are as slow as the protocol allows.
+TEST(MeetingGap, TheBoundHoldsToTheMoment) {
+  double longest = 0;
+  for (int step = 0; step < 50; ++step) {
+    World world(1050 + static_cast<unsigned>(step) % 3);
+    for (std::size_t i = 0; i < 3; ++i) world.set_clock(i, 0.9995);
+    for (std::size_t i = 0; i < 3; ++i) world.crash(i, 0.01);
+    world.cloud.capacity = 12;
+    world.submit(array(1, 16, 3000));
+    world.run_until(50);
+    extreme_clocks(world);
+    const auto lead = leader_index(world);
+    world.run_until(50 + 0.02 * step);
+    world.cut_mesh(lead, true);
+    refuse_state(world, lead, true);
+    world.run_until(world.loop.now() + 0.001);
+    ASSERT_TRUE(world.cancel_at((lead + 1) % 3, "job-1", 0.02));
+    const double confirmed = world.loop.now();
+    world.state_down(true);
+    while (world.rules.present("job-1") > 0 && world.loop.now() < confirmed + 60) world.run_until(world.loop.now() + 0.01);
+    longest = std::max(longest, world.loop.now() - confirmed);
+    ASSERT_TRUE(world.rules.broken().empty()) << step << ": " << world.rules.broken().front();
+  }
+  // No wider than it needs to be: tasks outlive as long an outage as they may.
+  EXPECT_GT(longest, 40 - constants::kAuthorityMargin - 1);
+  EXPECT_LE(longest, 40);
+}
+
 /// Layer 3: told by the controller that confirmed, it ends them at once.
 TEST(MeetingGap, ALeaderThatIsToldEndsThemAtOnce) {
   for (int step = 0; step < 12; ++step) play_gap(1100 + static_cast<unsigned>(step), 0.005 + step * 0.1, true, 0);
