--- a/tests/committer_test.cpp
+++ b/tests/committer_test.cpp
@@ -190,6 +190,8 @@
     }
     refresh();
     for (const auto& [id, block] : blocks_) ASSERT_GE(stored_attempt(id), block.record->written) << id << " in round " << round;
+    // Every value gets some of each.
+    for (int i = 0; i < 4; ++i) change(std::next(blocks_.begin(), static_cast<std::ptrdiff_t>(random() % 30))->second);
     run(0.3);
   }
 }
