--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -48,5 +48,45 @@
   EXPECT_NE(error, asio::error::would_block);
 }
 
+/// However the bytes are cut up on the way, and many messages at once.
+TEST(Mesh, MessagesArriveWholeAndInOrder) {
+  asio::io_context io;
+  const auto free_port = [&io] {
+    asio::ip::tcp::acceptor probe(io, {asio::ip::make_address("127.0.0.1"), 0});
+    return probe.local_endpoint();
+  };
+  const auto here = free_port();
+  const auto there = free_port();
+  std::vector<std::uint64_t> heard;
+  std::size_t longest = 0;
+  TcpMesh receiver(io, here, {{"sender", "", "127.0.0.1:" + std::to_string(there.port())}}, [&](Message message) {
+    const auto& reply = std::get<ForwardedReply>(message);
+    heard.push_back(reply.id);
+    longest = std::max(longest, reply.body.size());
+  });
+  TcpMesh sender(io, there, {{"receiver", "", "127.0.0.1:" + std::to_string(here.port())}}, [](const Message&) {});
+  for (std::uint64_t id = 0; id < 300; ++id) sender.send("receiver", ForwardedReply{id, 200, std::string(id % 7 == 0 ? 3000 : 20, 'x')});
+  for (int i = 0; i < 100 && heard.size() < 300; ++i) {
+    io.run_for(std::chrono::milliseconds(20));
+    io.restart();
+  }
+  ASSERT_EQ(heard.size(), 300U);
+  for (std::uint64_t id = 0; id < 300; ++id) ASSERT_EQ(heard[id], id);
+  EXPECT_EQ(longest, 3000U);
+  // A byte at a time, by hand.
+  const auto body = encode(ForwardedReply{77, 200, "slow"});
+  std::string bytes(4, '\0');
+  bytes[0] = static_cast<char>(body.size());
+  asio::ip::tcp::socket slow(io);
+  slow.connect(here);
+  for (const char byte : bytes + body) {
+    asio::write(slow, asio::buffer(&byte, 1));
+    io.run_for(std::chrono::milliseconds(2));
+    io.restart();
+  }
+  ASSERT_EQ(heard.size(), 301U);
+  EXPECT_EQ(heard.back(), 77U);
+}
+
 }  // namespace
 }  // namespace elmstall::mesh
