--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -91,9 +91,6 @@
 inline constexpr double kPeerSilence = 2.6;
 /// Bytes. Largest message between controllers.
 inline constexpr std::size_t kMaxMeshBytes = 256 * 1024;
-/// Bytes. Messages between controllers that are written together at most; a
-/// forwarded report is some hundred.
-inline constexpr std::size_t kMeshWriteBytes = 16 * 1024;
 /// Seconds. A worker that comes back within this time after a redirect could
 /// not reach the leader; its report is then forwarded over the mesh.
 inline constexpr double kRedirectMemory = 12.0;
--- a/src/mesh/tcp_mesh.cpp
+++ b/src/mesh/tcp_mesh.cpp
@@ -18,11 +18,9 @@
   return text + body;
 }
 
-constexpr std::size_t kHead = 4;
-
-std::uint32_t frame_size(std::string_view head) {
+std::uint32_t frame_size(const std::array<unsigned char, 4>& head) {
   std::uint32_t size = 0;
-  for (unsigned i = 0; i < kHead; ++i) size |= static_cast<std::uint32_t>(static_cast<unsigned char>(head[i])) << (8 * i);
+  for (unsigned i = 0; i < 4; ++i) size |= static_cast<std::uint32_t>(head[i]) << (8 * i);
   return size;
 }
 
@@ -72,14 +70,8 @@
   }
 
   void write() {
-    // All that waits in one go: a packet and a system call each would cost a
-    // small machine more than what is in them.
     current_ = std::move(queue_.front());
     queue_.pop_front();
-    while (!queue_.empty() && current_.size() + queue_.front().size() <= constants::kMeshWriteBytes) {
-      current_ += queue_.front();
-      queue_.pop_front();
-    }
     bytes_ -= current_.size();
     asio::async_write(socket_, asio::buffer(current_), [self = shared_from_this()](asio::error_code error, std::size_t) {
       if (error) return self->retry();
@@ -125,11 +117,12 @@
   ~Incoming() { shared_->incoming.erase(this); }
 
   void read() {
-    // Whatever has come: often several messages, hardly ever less than one.
-    socket_.async_read_some(asio::buffer(chunk_), [self = shared_from_this()](asio::error_code error, std::size_t size) {
+    asio::async_read(socket_, asio::buffer(head_), [self = shared_from_this()](asio::error_code error, std::size_t) {
       if (error) return;
-      self->pending_.append(self->chunk_.data(), size);
-      if (self->take_messages()) self->read();
+      const auto size = frame_size(self->head_);
+      if (size > constants::kMaxMeshBytes) return self->refuse("it is too large");
+      self->body_.resize(size);
+      self->read_body();
     });
   }
 
@@ -139,38 +132,29 @@
   }
 
  private:
-  /// False when what came can't be read.
-  bool take_messages() {
-    std::string_view left = pending_;
-    while (left.size() >= kHead) {
-      const auto size = frame_size(left);
-      if (size > constants::kMaxMeshBytes) return refuse("it is too large");
-      if (left.size() < kHead + size) break;
+  void read_body() {
+    asio::async_read(socket_, asio::buffer(body_), [self = shared_from_this()](asio::error_code error, std::size_t) {
+      if (error) return;
       try {
-        shared_->receiver(decode(left.substr(kHead, size)));
+        self->shared_->receiver(decode(self->body_));
       } catch (const std::exception& problem) {
-        return refuse(problem.what());
+        return self->refuse(problem.what());
       }
-      left.remove_prefix(kHead + size);
-    }
-    pending_.erase(0, pending_.size() - left.size());
-    // One large message must not keep its room for ever.
-    if (pending_.empty() && pending_.capacity() > constants::kMeshWriteBytes) pending_.shrink_to_fit();
-    return true;
+      self->read();
+    });
   }
 
   /// Not one of ours: the connection ends with this object.
-  bool refuse(const char* why) {
+  void refuse(const char* why) {
     asio::error_code unknown;
     const auto peer = socket_.remote_endpoint(unknown);
     spdlog::error("a message between controllers from {} can't be read: {}", unknown ? "an unknown address" : peer.address().to_string(), why);
-    return false;
   }
 
   asio::ip::tcp::socket socket_;
   std::shared_ptr<Shared> shared_;
-  std::array<char, 4096> chunk_{};
-  std::string pending_;  ///< read, but not a whole message yet
+  std::array<unsigned char, 4> head_{};
+  std::string body_;
 };
 
 TcpMesh::TcpMesh(asio::io_context& io, const asio::ip::tcp::endpoint& listen, const std::vector<config::Peer>& peers, Receiver receiver)
