--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -605,5 +605,41 @@
   }
 }
 
+/// What an unchanged report costs, in bytes on the way and in machines looked
+/// at, does not depend on the size of the fleet.
+TEST(Reports, CostTheSameInASmallFleetAndInALargeOne) {
+  std::map<int, std::size_t> bytes;
+  for (const int machines : {20, 150, 600}) {
+    World world(58);
+    world.cloud.capacity = machines;
+    world.submit(array(1, static_cast<std::uint32_t>(machines) * 2, 5000));
+    world.run_until(80);
+    ASSERT_EQ(placed(world, "job-1"), static_cast<std::size_t>(machines) * 2);
+    auto& leader = *world.leader()->leader();
+    auto* worker = worker_of(world, "job-1");
+    ASSERT_NE(worker, nullptr);
+    const auto* host = leader.model().find_host(worker->id());
+    for (auto& [id, one] : world.workers) one->cut = true;  // we speak for one, the others are still
+    world.run_until(world.loop.now() + 0.3);
+    wire::Report report{worker->id(), worker->id(), "m12", worker->zone(), worker->spot(), host->session, host->tick, leader.token() + host->fence, std::nullopt, {}};
+    for (const auto* task : host->tasks) report.tasks.push_back({"job-1", task->index, task->attempt, wire::TaskState::running, wire::EndCause::none, false});
+    const auto before = leader.planner().steps();
+    constexpr int kReports = 18;  // in less than a second, each with a decision of its own
+    for (int i = 0; i < kReports; ++i) {
+      ++report.tick;
+      leader.on_report(report, [&](const net::Response& response) {
+        EXPECT_EQ(response.status, 200);
+        bytes[machines] = response.body.size();
+      });
+      leader.after_batch();
+      world.run_until(world.loop.now() + 0.051);
+    }
+    // And one review of all machines, which is due every second.
+    EXPECT_LE(leader.planner().steps() - before, static_cast<std::size_t>(kReports * 5 + machines * 2)) << machines;
+  }
+  EXPECT_EQ(bytes[20], bytes[600]);
+  EXPECT_LT(bytes[600], 64U);
+}
+
 }  // namespace
 }  // namespace elmstall::test
