--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -692,6 +692,33 @@
   }
 }
 
+/// The same for a controller that stands in for its zone: it has heard of the
+/// next leader, but its records are those of the former term.
+TEST(MeetingLeaderApart, NobodyStandsInUnderATermThatIsOver) {
+  for (const bool next : {false, true}) {
+    World world(2390);
+    world.cloud.capacity = 20;
+    world.submit(array_in("south", 1, 2, 3000));
+    world.run_until(45);
+    lead_from_north(world);
+    const auto* worker = worker_of(world, "job-1");
+    ASSERT_NE(worker, nullptr);
+    for (auto& [id, one] : world.workers) one->cut = true;  // we speak for them
+    const auto term = world.leader()->leader()->term() + (next ? 1 : 0);
+    world.cut_zone("south", true);
+    world.node(1)->on_message(mesh::Beat{"node-0", term, "node-0", true, true, 0, 1e9});
+    world.run_until(world.loop.now() + 5);
+    wire::Report report{worker->id(), worker->id(), "m12", "south", worker->spot(), 1, 1, term << constants::kTokenFenceBits, std::nullopt, {}};
+    const auto ask = [&](double patience) {
+      ++report.tick;
+      const auto answer = world.answer_of(1, {"POST", "/v1/report", wire::encode_report(report)}, patience);
+      return answer ? answer->status : 0;
+    };
+    EXPECT_NE(ask(4), 200);
+    EXPECT_EQ(ask(0.5) == 200, !next) << "who comes back is answered, but not in vain";
+  }
+}
+
 // --- jobs that end across a change of leader ----------------------------------------------------------------------
 
 /// Two or three tasks that end far apart: what ended before the change is done
