Tests that speak for a worker compose its report in one place

Eight copies of the same report, and three loops over what the leader knows on a machine, now call report_of and show_tasks of tests/support/scenes.hpp.

--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -147,8 +147,8 @@
   ASSERT_TRUE(world.cancel_at(leader_index(world), "job-1", 0.05));
   for (int i = 0; i < 40 && !host->exchanging; ++i) world.run_until(world.loop.now() + 0.01);
   ASSERT_TRUE(host->exchanging) << "orders are under way";
-  wire::Report report{worker->id(), worker->id(), "m12", worker->zone(), worker->spot(), host->session, host->tick + 100, leader.token() + host->fence, std::nullopt, {}};
-  for (const auto* task : host->tasks) report.tasks.push_back({"job-1", task->index, task->attempt, wire::TaskState::running, wire::EndCause::none, false});
+  auto report = report_of(*worker, host->session, host->tick + 100, leader.token() + host->fence);
+  show_tasks(report, *host, wire::TaskState::running, wire::EndCause::none);
   ASSERT_FALSE(report.tasks.empty());
   for (const int older : {0, 1}) {  // as news, and crossing the reply to an exchange
     report.tick -= static_cast<std::uint64_t>(older);
@@ -185,7 +185,7 @@
   world.cut_mesh(lead, true);
   const auto* host = world.leader()->leader()->model().find_host(worker->id());
   const auto starts_told = [&] {
-    wire::Report report{worker->id(), worker->id(), "m12", worker->zone(), worker->spot(), host->session, host->tick + 100, host->fence + world.node(lead)->leader()->token(), std::nullopt, {}};
+    auto report = report_of(*worker, host->session, host->tick + 100, host->fence + world.node(lead)->leader()->token());
     const auto answer = world.answer_of(lead, {"POST", "/v1/report", wire::encode_report(report)}, 0.05);
     if (!answer || answer->status != 200) return -1;
     const auto orders = wire::decode_orders(wire::Document::parse(answer->body).root()).orders;
@@ -557,8 +557,9 @@
   auto* host = leader.model().find_host(worker->id());
   const auto* job = leader.model().job("job-1");
   worker->cut = true;  // we speak for it
-  wire::Report report{worker->id(), worker->id(), "m12", worker->zone() == "north" ? "south" : "north", worker->spot(), host->session, host->tick + 100, leader.token() + host->fence, std::nullopt, {}};
-  for (const auto* task : host->tasks) report.tasks.push_back({"job-1", task->index, task->attempt, wire::TaskState::ended, wire::EndCause::error, false});
+  auto report = report_of(*worker, host->session, host->tick + 100, leader.token() + host->fence);
+  report.zone = worker->zone() == "north" ? "south" : "north";
+  show_tasks(report, *host, wire::TaskState::ended, wire::EndCause::error);
   // Straight to the leader: its node would send the worker to the other zone.
   int status = 0;
   leader.on_report(report, [&](const net::Response& response) { status = response.status; });
@@ -708,7 +709,7 @@
     world.cut_zone("south", true);
     world.node(1)->on_message(mesh::Beat{"node-0", term, "node-0", true, true, 0, 1e9});
     world.run_until(world.loop.now() + 5);
-    wire::Report report{worker->id(), worker->id(), "m12", "south", worker->spot(), 1, 1, term << constants::kTokenFenceBits, std::nullopt, {}};
+    auto report = report_of(*worker, 1, 1, term << constants::kTokenFenceBits);
     const auto ask = [&](double patience) {
       ++report.tick;
       const auto answer = world.answer_of(1, {"POST", "/v1/report", wire::encode_report(report)}, patience);
@@ -888,7 +889,7 @@
   const auto* worker = worker_of(world, "job-1");
   ASSERT_NE(worker, nullptr);
   for (auto& [id, one] : world.workers) one->cut = true;  // we speak for them
-  wire::Report report{worker->id(), worker->id(), "m12", "south", worker->spot(), 1, 1000, world.leader()->leader()->token(), std::nullopt, {}};
+  auto report = report_of(*worker, 1, 1000, world.leader()->leader()->token());
   const auto send = [&] {
     ++report.tick;
     world.send_to_node(1, {"POST", "/v1/report", wire::encode_report(report)}, [](const net::Response&) {});
@@ -957,7 +958,7 @@
   const auto* task = *host->tasks.begin();
   worker->cut = true;  // we speak for it
   world.run_until(world.loop.now() + 5);
-  wire::Report report{worker->id(), worker->id(), "m12", worker->zone(), worker->spot(), host->session, host->tick, leader.token() + host->fence, std::nullopt, {}};
+  auto report = report_of(*worker, host->session, host->tick, leader.token() + host->fence);
   report.tasks.push_back({"job-1", task->index, task->attempt, wire::TaskState::ended, wire::EndCause::done, false});
   const auto cleared = [&] {
     ++report.tick;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -234,7 +234,7 @@
   lead_from_north(world);
   auto* worker = worker_of(world, "job-1");
   ASSERT_NE(worker, nullptr);
-  const wire::Report report{worker->id(), worker->id(), "m12", "south", worker->spot(), 1, 1, world.leader()->leader()->token(), std::nullopt, {}};
+  const auto report = report_of(*worker, 1, 1, world.leader()->leader()->token());
   worker->cut = true;  // we speak for it
   world.cut_zone("south", true);
   world.run_until(world.loop.now() + 5);
@@ -621,8 +621,8 @@
     const auto* host = leader.model().find_host(worker->id());
     for (auto& [id, one] : world.workers) one->cut = true;  // we speak for one, the others are still
     world.run_until(world.loop.now() + 0.3);
-    wire::Report report{worker->id(), worker->id(), "m12", worker->zone(), worker->spot(), host->session, host->tick, leader.token() + host->fence, std::nullopt, {}};
-    for (const auto* task : host->tasks) report.tasks.push_back({"job-1", task->index, task->attempt, wire::TaskState::running, wire::EndCause::none, false});
+    auto report = report_of(*worker, host->session, host->tick, leader.token() + host->fence);
+    show_tasks(report, *host, wire::TaskState::running, wire::EndCause::none);
     const auto before = leader.planner().steps();
     constexpr int kReports = 18;  // in less than a second, each with a decision of its own
     for (int i = 0; i < kReports; ++i) {
