--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -51,8 +51,8 @@
   // Any node may be the leader, which needs most of the writes; the service
   // refuses what all together ask for beyond its limits, and that is retried.
   const auto nodes = static_cast<double>(settings.peers.size() + 1);
-  return {settings.state_rps * std::max(0.5, 1 / nodes),
-          settings.state_write_rps * std::max(0.6, 1 / nodes)};
+  const auto limits = settings.state_limits();
+  return {limits.rps * std::max(0.5, 1 / nodes), limits.write_rps * std::max(0.6, 1 / nodes)};
 }
 
 net::ServerLimits server_limits(const config::Settings& settings) {
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -124,6 +124,35 @@
 /// Seconds. How long the leader must be heard again before the delegation ends.
 inline constexpr double kDelegationEnd = 1.5;
 
+// --- gangs -------------------------------------------------------------------------
+/// Seconds. How long workers let a gang's task wait for the others, and how soon
+/// they notice that one is gone, where the settings don't tell.
+inline constexpr double kGangWaitDefault = 30.0;
+inline constexpr double kGangPeerDefault = 8.0;
+/// Seconds. Pause between two searches of places for one gang: each walks through
+/// all machines with room.
+inline constexpr double kGangRetryEvery = 0.25;
+/// Seconds. How long places are kept while lesser work makes room: it saves for
+/// some seconds, and reports that late.
+inline constexpr double kGangClaimMax = 15.0;
+/// Seconds. A gang that has waited this long keeps the places there are, so that
+/// smaller work does not take them one by one for ever; and how long at most,
+/// and again after as long, for its share may stand idle meanwhile.
+inline constexpr double kGangReserveAfter = 10.0;
+inline constexpr double kGangReserveMax = 60.0;
+/// Seconds. Machines are rented in one zone for this long before another is tried.
+inline constexpr double kGangZonePatience = 20.0;
+/// Seconds. Pause of a task that a machine refused.
+inline constexpr double kGangRefusedPause = 0.5;
+/// Seconds. What must be left of the others' wait for a replacement to be worth
+/// it: a commit, a command, and the reports that tell.
+inline constexpr double kGangReplaceMargin = 3.0;
+/// Seconds. What a machine must live beyond the time to save, for the commands
+/// to reach all machines.
+inline constexpr double kGangSaveMargin = 2.0;
+/// Seconds. A stop with time to save is told again after this long.
+inline constexpr double kStopRepeat = 1.0;
+
 // --- engine ------------------------------------------------------------------
 /// Seconds. Interval of the engine's periodic work.
 inline constexpr double kTick = 0.25;
@@ -164,6 +193,17 @@
 /// carried along. A third keeps carrying cheap and the log at three times the
 /// live records, which is what a takeover reads.
 inline constexpr double kSlotCarry = 0.33;
+/// Least share of the limits that transactions are cut down to when the state
+/// service calls them too large, and how many accepted ones it takes to double
+/// that share again.
+inline constexpr double kCommitScaleMin = 0.25;
+inline constexpr int kCommitScaleRegain = 200;
+/// Seconds. Pause after a transaction that was called malformed, whatever its size.
+inline constexpr double kCommitRejectedPause = 1.0;
+/// Bytes. What numbers may take as JSON beyond their shortest form.
+inline constexpr std::size_t kJsonNumberSlack = 32;
+/// Bytes. Frame of a block's record around its tasks, as JSON.
+inline constexpr std::size_t kBlockFrameBytes = 80;
 /// Values that the log has before it begins to overwrite.
 inline constexpr std::size_t kSlotsFirst = 8;
 /// Seconds between two commits of the leader: together they stay far below the
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -77,6 +77,17 @@
     return values;
   }
 
+  [[nodiscard]] bool has_table(const std::string& key) const {
+    const auto node = root_.at_path(key);
+    if (node && !node.is_table()) fail(key, "must be a table");
+    return static_cast<bool>(node);
+  }
+
+  [[nodiscard]] double number_or(const std::string& key, double low, double high,
+                                 double fallback) const {
+    return root_.at_path(key) ? number(key, low, high) : fallback;
+  }
+
   [[nodiscard]] double optional_number(const std::string& key) const {
     return root_.at_path(key) ? number(key, 0, 1e12) : 0;
   }
@@ -89,6 +100,35 @@
   std::string file_;
 };
 
+constexpr double kMostPerSecond = 1e9;
+constexpr double kMostValueKb = 1e6;
+constexpr double kLeastTxnOps = 4;  // a final state, the job's removal, a log value, one to spare
+constexpr double kMostTxnOps = 1e6;
+
+StateLimits read_state_limits(const Reader& reader) {
+  StateLimits limits;
+  limits.rps = reader.number("deployment.state.rps", 1, kMostPerSecond);
+  limits.write_rps = reader.number("deployment.state.write_rps", 1, kMostPerSecond);
+  limits.value_kb = reader.number("deployment.state.value_kb", 1, kMostValueKb);
+  limits.txn_ops =
+      static_cast<int>(reader.number("deployment.state.txn_ops", kLeastTxnOps, kMostTxnOps));
+  return limits;
+}
+
+/// Limits to come; what the table leaves out stays as it is.
+std::optional<StateLimits> read_next_limits(const Reader& reader, const StateLimits& now) {
+  if (!reader.has_table("deployment.state.next")) return std::nullopt;
+  StateLimits limits;
+  limits.rps = reader.number_or("deployment.state.next.rps", 1, kMostPerSecond, now.rps);
+  limits.write_rps =
+      reader.number_or("deployment.state.next.write_rps", 1, kMostPerSecond, now.write_rps);
+  limits.value_kb =
+      reader.number_or("deployment.state.next.value_kb", 1, kMostValueKb, now.value_kb);
+  limits.txn_ops = static_cast<int>(
+      reader.number_or("deployment.state.next.txn_ops", kLeastTxnOps, kMostTxnOps, now.txn_ops));
+  return limits;
+}
+
 void read_deployment(const Reader& reader, Settings& settings) {
   settings.zones = reader.texts("deployment.zones");
   settings.skew_s = reader.number("deployment.skew_ms", 0, 3.6e6) / 1000;
@@ -104,10 +144,12 @@
   settings.report_s = reader.number("deployment.workers.report_s", 0.01, 3600);
   settings.lease_s = reader.number("deployment.workers.lease_s", 0.1, 86400);
   settings.cancel_s = reader.number("deployment.workers.cancel_s", 0.1, 86400);
-  settings.state_rps = reader.number("deployment.state.rps", 1, 1e9);
-  settings.state_write_rps = reader.number("deployment.state.write_rps", 1, 1e9);
-  settings.state_value_kb = reader.number("deployment.state.value_kb", 1, 1e6);
-  settings.txn_ops = static_cast<int>(reader.number("deployment.state.txn_ops", 4, 1e6));
+  settings.gang_wait_s =
+      reader.number_or("deployment.workers.gang_wait_s", 0.1, 86400, constants::kGangWaitDefault);
+  settings.gang_peer_s =
+      reader.number_or("deployment.workers.gang_peer_s", 0.1, 86400, constants::kGangPeerDefault);
+  settings.state = read_state_limits(reader);
+  settings.state_next = read_next_limits(reader, settings.state);
   settings.cloud_rps = reader.number("deployment.cloud.rps", 0.1, 1e6);
   settings.list_lag_s = reader.number("deployment.cloud.list_lag_s", 0, 3600);
   settings.cores = reader.number("deployment.quota.cores", 0.001, 1e4);
@@ -123,6 +165,13 @@
   return found == teams.end() ? nullptr : &*found;
 }
 
+StateLimits Settings::state_limits() const {
+  if (!state_next) return state;
+  return {std::min(state.rps, state_next->rps), std::min(state.write_rps, state_next->write_rps),
+          std::min(state.value_kb, state_next->value_kb),
+          std::min(state.txn_ops, state_next->txn_ops)};
+}
+
 double Settings::leader_lease_s() const {
   return std::max(lease_s * 0.1,
                   cancel_s - lease_s * (1 + constants::kDrift) - constants::kLeaderLeaseMargin);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <filesystem>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -39,6 +40,14 @@
   double share = 0;
 };
 
+/// What the state service takes.
+struct StateLimits {
+  double rps = 0;
+  double write_rps = 0;  ///< puts and deletes a second
+  double value_kb = 0;
+  int txn_ops = 0;  ///< puts and deletes in one transaction
+};
+
 struct Settings {
   std::string node;
   std::string zone;
@@ -54,10 +63,14 @@
   double report_s = 0;
   double lease_s = 0;
   double cancel_s = 0;
-  double state_rps = 0;
-  double state_write_rps = 0;
-  double state_value_kb = 0;
-  int txn_ops = 0;
+  /// How long a gang's task waits for the others, and how soon it notices that
+  /// one is gone.
+  double gang_wait_s = 0;
+  double gang_peer_s = 0;
+  /// The limits that the records are partitioned by.
+  StateLimits state;
+  /// Limits that come into force at some later moment, without notice.
+  std::optional<StateLimits> state_next;
   double cloud_rps = 0;
   double list_lag_s = 0;
   double cores = 0;
@@ -66,6 +79,8 @@
   Tuning tuning;  ///< the operators' own
 
   [[nodiscard]] const Team* team(const std::string& name) const;
+  /// What every request keeps to: the smaller of the limits now and to come.
+  [[nodiscard]] StateLimits state_limits() const;
   /// Seconds. How long after the sending of its last confirmed state request
   /// a leader may still answer reports, so that a cancellation it could not
   /// hear of is honoured in time: renewals end by then, and the workers'
--- /dev/null
+++ b/src/engine/gang.cpp
@@ -0,0 +1,47 @@
+#include "engine/gang.hpp"
+
+namespace elmstall::engine {
+
+bool may_follow(Gang::State from, Gang::State to) {
+  using State = Gang::State;
+  if (to == State::done) return from != State::done;
+  switch (from) {
+    case State::waiting:
+      return to == State::claiming || to == State::starting;
+    case State::claiming:
+      return to == State::waiting || to == State::starting;
+    case State::starting:
+      return to == State::running || to == State::stopping || to == State::ending;
+    case State::running:
+      return to == State::stopping || to == State::ending;
+    case State::stopping:
+      return to == State::ending || to == State::waiting;
+    case State::ending:
+      return to == State::waiting;
+    case State::done:
+      return false;
+  }
+  return false;
+}
+
+const char* to_text(Gang::State state) {
+  switch (state) {
+    case Gang::State::waiting:
+      return "waiting";
+    case Gang::State::claiming:
+      return "claiming";
+    case Gang::State::starting:
+      return "starting";
+    case Gang::State::running:
+      return "running";
+    case Gang::State::stopping:
+      return "stopping";
+    case Gang::State::ending:
+      return "ending";
+    case Gang::State::done:
+      return "done";
+  }
+  return "?";
+}
+
+}  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/gang_coordinator.cpp
@@ -0,0 +1,553 @@
+#include "engine/gang_coordinator.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <map>
+
+#include "config/constants.hpp"
+#include "engine/planner.hpp"
+#include "engine/preemption.hpp"
+
+namespace elmstall::engine {
+
+namespace k = constants;
+using State = Gang::State;
+using wire::EndCause;
+using wire::TaskState;
+
+namespace {
+
+void change_state(Job& job, State state, double now) {
+  auto& gang = job.gang_progress;
+  if (gang.state == state) return;
+  if (!may_follow(gang.state, state))
+    spdlog::error("gang {}: {} does not follow {}", job.id, to_text(state), to_text(gang.state));
+  spdlog::debug("gang {}: {}, was {}", job.id, to_text(state), to_text(gang.state));
+  gang.state = state;
+  gang.since = now;
+}
+
+std::vector<Task*> tasks_in_memory(const Job& job) {
+  std::vector<Task*> tasks;
+  for (const auto& [number, block] : job.blocks) {
+    for (auto& task : block->tasks) tasks.push_back(&task);
+  }
+  return tasks;
+}
+
+/// Ends a task without time to save.
+void end_task(Model& model, Task& task) {
+  if (task.phase == Phase::planned) return model.unplan(task);
+  if (task.phase != Phase::assigned) return;
+  if (!task.offered) return model.release(task);  // it never left us
+  task.stopping = true;
+  task.wind_down_s = 0;
+  model.attention().insert(task.host);
+}
+
+/// The machine will hear and carry out a stop within a moment, and lives long
+/// enough to save.
+bool can_save(const Task& task, double silent_after_s, double now) {
+  const auto& host = *task.host;
+  const double save_s = task.job->spec.save_s;
+  const bool leaves = host.recall_at && *host.recall_at - now < save_s + k::kGangSaveMargin;
+  return host.synchronized && !host.unresponsive && !leaves &&
+         now - host.last_report < silent_after_s;
+}
+
+}  // namespace
+
+void stop_gang(Model& model, Job& job, bool save, double now, double not_before) {
+  auto& gang = job.gang_progress;
+  const auto tasks = tasks_in_memory(job);
+  for (auto* task : tasks) task->not_before = std::max(task->not_before, not_before);
+  switch (gang.state) {
+    case State::claiming:
+      for (auto* task : tasks) end_task(model, *task);
+      return change_state(job, State::waiting, now);
+    case State::starting:
+    case State::running:
+      break;
+    default:
+      return;  // on no machine, or on its way there
+  }
+  const double silent_after_s = model.settings().silent_after_s();
+  const bool orderly =
+      save && gang.state == State::running && job.spec.checkpoint_every_s > 0 &&
+      std::all_of(tasks.begin(), tasks.end(), [&](const Task* task) {
+        return task->phase == Phase::assigned && can_save(*task, silent_after_s, now);
+      });
+  if (!orderly) {
+    for (auto* task : tasks) end_task(model, *task);
+    return change_state(job, State::ending, now);
+  }
+  for (auto* task : tasks) {
+    task->stopping = true;
+    task->wind_down_s = job.spec.save_s;
+    model.attention().insert(task->host);
+  }
+  change_state(job, State::stopping, now);
+}
+
+std::vector<Task*> GangCoordinator::tasks_of(Job& job) const {
+  for (std::uint32_t number = 0; number < job.block_count; ++number)
+    (void)model_.load_block(job, number, nullptr);
+  return tasks_in_memory(job);
+}
+
+std::vector<Task*> GangCoordinator::pending_of(Job& job) const {
+  auto tasks = tasks_of(job);
+  std::erase_if(tasks, [](const Task* task) { return task->phase != Phase::pending; });
+  return tasks;
+}
+
+// --- takeover and reports ------------------------------------------------------------
+
+void GangCoordinator::recover(Job& job, double now) const {
+  auto& gang = job.gang_progress;
+  const auto tasks = tasks_in_memory(job);
+  for (const auto* task : tasks) gang.attempt = std::max(gang.attempt, task->attempt);
+  const auto assigned = [](const Task* task) { return task->phase == Phase::assigned; };
+  if (std::none_of(tasks.begin(), tasks.end(), assigned)) return;
+  // Whether it has begun will be seen in the reports. A task that waits by then
+  // began to do so at some time before now.
+  gang.state = State::starting;
+  gang.since = now;
+  gang.gathering_since = now - settings_.gang_wait_s / 2;
+}
+
+void GangCoordinator::on_state(Task& task, TaskState state, double now) {
+  auto& job = *task.job;
+  auto& gang = job.gang_progress;
+  if (task.attempt != gang.attempt || job.cancelled) return;
+  if (state == TaskState::gathering) {
+    gang.gathering_since = std::min(gang.gathering_since, now);
+  } else if (state == TaskState::running && !gang.broken) {
+    gang.broken = true;
+    model_.open().insert(&job);
+  } else if (state == TaskState::saving && !task.stopping) {
+    // A former leader stops it: the others must hear of it in time.
+    if (gang.state == State::starting) change_state(job, State::running, now);
+    stop_gang(model_, job, true, now, kNever);
+  }
+}
+
+void GangCoordinator::on_exit(Task& task, EndCause cause, double now) {
+  auto& job = *task.job;
+  auto& gang = job.gang_progress;
+  const bool refused =
+      cause == EndCause::no_room || cause == EndCause::in_use || cause == EndCause::unknown;
+  if (refused || cause == EndCause::error) gang.avoided.insert(task.host->id);
+  if (refused) {
+    // The rest may still wait for a replacement.
+    task.not_before = std::max(task.not_before, now + k::kGangRefusedPause);
+  } else {
+    gang.broken = true;
+  }
+  if (cause == EndCause::incomplete) {
+    // Whoever has no image yet made the others wait for nothing.
+    for (const auto* other : tasks_in_memory(job)) {
+      if (other->phase == Phase::assigned && other->state == TaskState::fetching)
+        gang.avoided.insert(other->host->id);
+    }
+  }
+  model_.release(task);
+}
+
+void GangCoordinator::on_done(Job& job, double now) {
+  if (!job.cancelled && job.gang_progress.state != State::done) complete(job, now);
+}
+
+void GangCoordinator::on_late_done(Job& job, double now) {
+  auto& gang = job.gang_progress;
+  if (job.cancelled || gang.state == State::done || gang.completed) return;
+  gang.completed = true;
+  spdlog::info("gang {} is complete by an earlier attempt", job.id);
+  if (gang.state == State::starting || gang.state == State::running)
+    return end_attempt(job, "an earlier one completed", now);
+  if (job.on_hosts == 0 || gang.state == State::claiming) complete(job, now);
+}
+
+void GangCoordinator::complete(Job& job, double now) {
+  for (const auto* task : tasks_of(job)) {
+    if (task->running_since == kNever) continue;
+    estimates_.learn(job.spec.job_class, job.spec.expect_s, now - task->running_since);
+    break;  // they all ran for the same time
+  }
+  // A block forgets its tasks with the last of them.
+  for (const auto& [number, block] : job.blocks) {
+    for (std::size_t left = block->tasks.size(), i = 0; i < left; ++i) {
+      auto& task = block->tasks[i];
+      if (task.phase == Phase::planned) model_.unplan(task);
+      if (task.phase != Phase::done) model_.complete(task);
+    }
+  }
+  change_state(job, State::done, now);
+}
+
+// --- one step ------------------------------------------------------------------------------
+
+bool GangCoordinator::advance(Job& job, const HostSet& roomy, double now) {
+  auto& gang = job.gang_progress;
+  switch (gang.state) {
+    case State::waiting:
+      place(job, roomy, now);
+      return true;
+    case State::claiming:
+      settle_claim(job, roomy, now);
+      return true;
+    case State::starting:
+      watch_start(job, roomy, now);
+      return gang.state != State::running;
+    case State::running:
+      if (!pending_of(job).empty()) end_attempt(job, "a task is gone", now);
+      return gang.state != State::running;
+    case State::stopping:
+    case State::ending:
+      if (job.on_hosts == 0) finish_attempt(job, now);
+      // A task's end brings it back.
+      return gang.state == State::waiting;
+    case State::done:
+      return false;
+  }
+  return true;
+}
+
+bool GangCoordinator::may_run(const Task& task) {
+  auto& gang = task.job->gang_progress;
+  if (gang.state != State::starting || task.attempt != gang.attempt) return false;
+  if (gang.committed) return true;
+  const auto tasks = tasks_of(*task.job);
+  gang.committed = std::all_of(tasks.begin(), tasks.end(), [&](const Task* other) {
+    return other->phase == Phase::assigned && other->attempt == gang.attempt &&
+           other->block->record->written >= other->needs;
+  });
+  return gang.committed;
+}
+
+// --- placement -------------------------------------------------------------------------------
+
+bool GangCoordinator::within_quota(const Job& job, std::size_t tasks) {
+  if (job.team == nullptr) return false;
+  const auto count = static_cast<double>(tasks);
+  return sched::within_limit_count(*job.team, *job.team_usage, job.need, count) >= count;
+}
+
+std::optional<sched::GangSite> GangCoordinator::site_of(const Job& job, const Host& host) const {
+  if (!Model::allowed_kind(job, host)) return std::nullopt;
+  sched::GangSite site;
+  site.zone = host.zone;
+  const auto room = host.room();
+  site.free_slots = sched::slots_in(room, job.need);
+  site.avoid = job.gang_progress.avoided.contains(host.id);
+  site.cached = host.caches(job.image);
+  // What arrays and services could use, others should not take; and whole
+  // machines are best left whole.
+  constexpr std::size_t most = 1000;
+  site.waste = static_cast<double>(std::min(most, sched::slots_in(room, model_.least_need()))) + 1 -
+               host.used.share_of(host.capacity);
+  return site;
+}
+
+GangCoordinator::Sites GangCoordinator::free_sites(const Job& job, const HostSet& roomy) const {
+  Sites found;
+  for (auto* host : roomy) {
+    auto site = site_of(job, *host);
+    if (!site || site->free_slots == 0) continue;
+    site->machine = found.hosts.size();
+    found.hosts.push_back(host);
+    found.sites.push_back(std::move(*site));
+  }
+  return found;
+}
+
+GangCoordinator::Sites GangCoordinator::displaceable_sites(const Job& job, double now) const {
+  Sites found;
+  for (const auto& [id, host] : model_.hosts()) {
+    if (!Planner::usable(*host, now, settings_)) continue;
+    auto site = site_of(job, *host);
+    if (!site) continue;
+    sched::Amount room = host->room();
+    double cost = 0;
+    for (const auto* task : host->tasks) {
+      if (!may_stop(job, *task)) continue;
+      room += task->job->need;
+      cost += lost_work(*task, now);
+    }
+    const auto all = sched::slots_in(room, job.need);
+    if (all == 0) continue;
+    site->extra_slots = all - std::min(all, site->free_slots);
+    site->extra_cost = site->extra_slots == 0 ? 0 : cost / static_cast<double>(site->extra_slots);
+    site->machine = found.hosts.size();
+    found.hosts.push_back(host.get());
+    found.sites.push_back(std::move(*site));
+  }
+  return found;
+}
+
+sched::GangRequest GangCoordinator::request_of(const Job& job, std::size_t tasks) {
+  sched::GangRequest request;
+  request.tasks = tasks;
+  request.together = job.spec.together;
+  request.zone_limit = job.spec.spread ? sched::spread_limit(job.spec.tasks) : 0;
+  return request;
+}
+
+void GangCoordinator::place(Job& job, const HostSet& roomy, double now) {
+  auto& gang = job.gang_progress;
+  if (now < gang.tried_at + k::kGangRetryEvery) return;
+  const auto tasks = pending_of(job);
+  const bool free = std::all_of(tasks.begin(), tasks.end(),
+                                [&](const Task* task) { return task->not_before <= now; });
+  if (!free || !within_quota(job, tasks.size())) return;
+  gang.tried_at = now;
+  const auto sites = free_sites(job, roomy);
+  if (const auto shares = sched::place_gang(sites.sites, request_of(job, tasks.size()), false))
+    return start(job, tasks, sites, *shares, now);
+  if (displace(job, tasks, now)) return;
+  choose_zone(job, sites, now);
+  reserve(job, tasks, sites, now);
+}
+
+void GangCoordinator::start(Job& job, const std::vector<Task*>& tasks, const Sites& sites,
+                            const std::vector<sched::GangShare>& shares, double now) {
+  auto& gang = job.gang_progress;
+  std::uint64_t attempt = gang.attempt;
+  for (const auto* task : tasks) attempt = std::max(attempt, task->attempt);
+  gang.attempt = attempt + 1;
+  gang.committed = gang.broken = false;
+  gang.gathering_since = std::numeric_limits<double>::infinity();
+  auto next = tasks.begin();
+  for (const auto& share : shares) {
+    auto& host = *sites.hosts[share.site];
+    if (job.spec.together) job.zone_choice = host.zone;
+    for (std::size_t i = 0; i < share.tasks; ++i) model_.assign(**next++, host, gang.attempt, now);
+  }
+  if (reserving_ == job.serial) reserving_ = 0;
+  change_state(job, State::starting, now);
+  spdlog::info("gang {} starts attempt {} on {} machines", job.id, gang.attempt, shares.size());
+}
+
+bool GangCoordinator::displace(Job& job, const std::vector<Task*>& tasks, double now) {
+  if (now < job.searched_at + k::kDisplaceEvery || searches_ >= k::kDisplaceSearches ||
+      !anything_lesser(settings_, model_, job))
+    return false;
+  ++searches_;
+  job.searched_at = now;
+  const auto sites = displaceable_sites(job, now);
+  const auto shares = sched::place_gang(sites.sites, request_of(job, tasks.size()), true);
+  if (!shares) return false;
+  std::vector<Task*> stopped;
+  for (const auto& share : *shares) {
+    const auto chosen =
+        victims(job, *sites.hosts[share.site], job.need * static_cast<double>(share.tasks), now);
+    if (!chosen) return false;
+    stopped.insert(stopped.end(), chosen->begin(), chosen->end());
+  }
+  for (auto* victim : stopped) stop_task(model_, *victim, true, now, now + k::kPreemptPause);
+  auto next = tasks.begin();
+  for (const auto& share : *shares) {
+    auto& host = *sites.hosts[share.site];
+    if (job.spec.together) job.zone_choice = host.zone;
+    for (std::size_t i = 0; i < share.tasks; ++i) model_.plan(**next++, host);
+  }
+  change_state(job, State::claiming, now);
+  spdlog::info("gang {} takes the room of {} lesser tasks", job.id, stopped.size());
+  return true;
+}
+
+void GangCoordinator::choose_zone(Job& job, const Sites& sites, double now) const {
+  // Machines are rented for the zone that the gang is most likely to fit in;
+  // not for another one after each look.
+  if (!job.spec.together || job.spec.zone) return;
+  auto& gang = job.gang_progress;
+  if (!job.zone_choice.empty() && now < gang.zone_chosen_at + k::kGangZonePatience) return;
+  auto zone = sched::roomiest_zone(sites.sites);
+  if (zone.empty()) zone = settings_.zones[job.serial % settings_.zones.size()];
+  job.zone_choice = std::move(zone);
+  gang.zone_chosen_at = now;
+}
+
+void GangCoordinator::reserve(Job& job, const std::vector<Task*>& tasks, const Sites& sites,
+                              double now) {
+  auto& gang = job.gang_progress;
+  if (reserving_ != 0 || now < job.submitted + k::kGangReserveAfter || now < gang.claim_after ||
+      sites.hosts.empty())
+    return;
+  reserving_ = job.serial;
+  change_state(job, State::claiming, now);
+  spdlog::info("gang {} of {} tasks keeps what room there is", job.id, tasks.size());
+}
+
+void GangCoordinator::begin_round() {
+  searches_ = 0;
+  if (reserving_ == 0) return;
+  auto* job = model_.job_by_serial(reserving_);
+  if (job == nullptr || job->gang_progress.state != State::claiming) {
+    reserving_ = 0;
+    return;
+  }
+  // Work that goes before it takes its pick first; what is left is kept anew.
+  unplan(tasks_of(*job));
+}
+
+void GangCoordinator::unplan(const std::vector<Task*>& tasks) {
+  for (auto* task : tasks) {
+    if (task->phase == Phase::planned) model_.unplan(*task);
+  }
+}
+
+bool GangCoordinator::claim_has_room(const std::vector<Task*>& tasks) {
+  std::map<const Host*, sched::Amount> wanted;
+  for (const auto* task : tasks) wanted[task->host] += task->job->need;
+  return std::all_of(wanted.begin(), wanted.end(), [](const auto& entry) {
+    const auto& host = *entry.first;
+    sched::Amount taken = host.unrecorded_use;
+    for (const auto* task : host.tasks) {
+      if (task->phase == Phase::assigned) taken += task->job->need;
+    }
+    return entry.second.fits(host.capacity - taken);
+  });
+}
+
+void GangCoordinator::settle_claim(Job& job, const HostSet& roomy, double now) {
+  const bool reserving = reserving_ == job.serial;
+  const double most = reserving ? k::kGangReserveMax : k::kGangClaimMax;
+  const auto tasks = tasks_of(job);
+  const bool lost = std::any_of(tasks.begin(), tasks.end(), [&](const Task* task) {
+    return task->phase == Phase::planned && !Planner::usable(*task->host, now, settings_);
+  });
+  if (lost || now > job.gang_progress.since + most) return give_up_claim(job, now);
+  if (reserving) return widen_reservation(job, tasks, roomy, now);
+  if (!claim_has_room(tasks)) return;
+  Sites sites;
+  std::vector<sched::GangShare> shares;
+  for (auto* task : tasks) {
+    shares.push_back({sites.hosts.size(), 1, 0});
+    sites.hosts.push_back(task->host);
+  }
+  unplan(tasks);
+  start(job, tasks, sites, shares, now);
+}
+
+void GangCoordinator::widen_reservation(Job& job, const std::vector<Task*>& tasks,
+                                        const HostSet& roomy, double now) {
+  const auto sites = free_sites(job, roomy);
+  if (within_quota(job, tasks.size())) {
+    if (const auto shares = sched::place_gang(sites.sites, request_of(job, tasks.size()), false))
+      return start(job, tasks, sites, *shares, now);
+  }
+  choose_zone(job, sites, now);
+  keep_places(job, tasks, sites);
+}
+
+void GangCoordinator::keep_places(Job& job, const std::vector<Task*>& tasks, const Sites& sites) {
+  const auto zone = job.spec.together ? job.zone_choice : std::string();
+  const auto limit = job.spec.spread ? sched::spread_limit(job.spec.tasks) : job.spec.tasks;
+  auto next = tasks.begin();
+  for (std::size_t i = 0; i < sites.hosts.size() && next != tasks.end(); ++i) {
+    auto& host = *sites.hosts[i];
+    if (!zone.empty() && host.zone != zone) continue;
+    const auto slots = sites.sites[i].free_slots;
+    for (std::size_t taken = 0; taken < slots && next != tasks.end(); ++taken) {
+      const auto there = job.per_zone.find(host.zone);
+      const bool full = there != job.per_zone.end() && there->second >= limit;
+      if (full || !Model::within_quota(job)) break;
+      model_.plan(**next++, host);
+    }
+  }
+}
+
+void GangCoordinator::give_up_claim(Job& job, double now) {
+  unplan(tasks_of(job));
+  auto& gang = job.gang_progress;
+  if (reserving_ == job.serial) {
+    reserving_ = 0;
+    gang.claim_after = now + k::kGangReserveMax;
+  }
+  gang.zone_chosen_at = kNever;
+  change_state(job, State::waiting, now);
+}
+
+// --- an attempt --------------------------------------------------------------------------------
+
+void GangCoordinator::watch_start(Job& job, const HostSet& roomy, double now) {
+  const auto tasks = tasks_of(job);
+  const auto running = [](const Task* task) {
+    return task->phase == Phase::assigned && task->running_since != kNever;
+  };
+  if (std::all_of(tasks.begin(), tasks.end(), running))
+    return change_state(job, State::running, now);
+  const bool lost = std::any_of(tasks.begin(), tasks.end(),
+                                [](const Task* task) { return task->phase == Phase::pending; });
+  if (!lost) return;
+  if (job.on_hosts == 0) return end_attempt(job, "all its tasks are gone", now);
+  // A gang that has begun answers a loss by itself, and so does one that was
+  // told to end; what is left of it makes room for the next attempt.
+  if (job.gang_progress.broken) return end_attempt(job, "a task is gone", now);
+  if (replaceable(job)) return replace(job, roomy, now);
+  if (!time_for_replacement(job, nullptr, now)) end_attempt(job, "it can't be completed", now);
+}
+
+bool GangCoordinator::replaceable(Job& job) const {
+  // Reports are late: all the others must have been seen to wait, by a report
+  // that shows what was ordered before it.
+  const auto tasks = tasks_of(job);
+  return std::all_of(tasks.begin(), tasks.end(), [](const Task* task) {
+    if (task->phase != Phase::assigned || !task->offered) return true;
+    const bool waits = task->state == TaskState::fetching || task->state == TaskState::gathering;
+    return task->seen && waits && task->host->synchronized;
+  });
+}
+
+bool GangCoordinator::time_for_replacement(const Job& job, const Host* host, double now) const {
+  double fetch_s = 0;
+  if (host != nullptr && !host->caches(job.image)) {
+    const auto* type = model_.machine_type(host->type);
+    const double rate = type == nullptr ? 0 : type->fetch_gb_per_s;
+    fetch_s = rate > 0 ? 2 * job.spec.image_gb / rate : 0;
+  }
+  return now + fetch_s + k::kGangReplaceMargin <
+         job.gang_progress.gathering_since + settings_.gang_wait_s;
+}
+
+void GangCoordinator::replace(Job& job, const HostSet& roomy, double now) {
+  auto& gang = job.gang_progress;
+  if (now < gang.tried_at + k::kGangRetryEvery) return;
+  gang.tried_at = now;
+  const auto lost = pending_of(job);
+  if (!time_for_replacement(job, nullptr, now)) return end_attempt(job, "time is short", now);
+  for (auto* task : lost) {
+    if (task->not_before > now) return;
+    Host* best = nullptr;
+    for (auto* host : roomy) {
+      // Where an attempt has been it must not be started again.
+      const bool fits = job.need.fits(host->room()) && Model::allowed(job, *host) &&
+                        !gang.avoided.contains(host->id) && Model::within_quota(job) &&
+                        time_for_replacement(job, host, now);
+      if (fits && (best == nullptr || (host->caches(job.image) && !best->caches(job.image))))
+        best = host;
+    }
+    if (best == nullptr) return;
+    spdlog::info("gang {}: task {} starts again on host {}", job.id, task->index, best->id);
+    model_.assign(*task, *best, gang.attempt, now);
+  }
+}
+
+void GangCoordinator::end_attempt(Job& job, const char* why, double now) {
+  spdlog::info("gang {} ends attempt {}: {}", job.id, job.gang_progress.attempt, why);
+  change_state(job, State::ending, now);
+  for (auto* task : tasks_of(job)) end_task(model_, *task);
+  if (job.on_hosts == 0) finish_attempt(job, now);
+}
+
+void GangCoordinator::finish_attempt(Job& job, double now) {
+  auto& gang = job.gang_progress;
+  if (gang.completed) return complete(job, now);
+  gang.committed = gang.broken = false;
+  gang.tried_at = kNever;
+  change_state(job, State::waiting, now);
+}
+
+}  // namespace elmstall::engine
--- a/src/engine/group_commit.cpp
+++ b/src/engine/group_commit.cpp
@@ -1,5 +1,7 @@
 #include "engine/group_commit.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 #include "config/constants.hpp"
@@ -72,12 +74,23 @@
 // --- building a transaction ------------------------------------------------------
 
 std::size_t GroupCommit::value_limit() const {
-  return static_cast<std::size_t>(settings_.state_value_kb * 1024 * k::kSlotFill);
+  const auto bytes = ledger::value_bytes(settings_.state_limits().value_kb);
+  return static_cast<std::size_t>(static_cast<double>(bytes) * scale_);
+}
+
+std::size_t GroupCommit::max_ops() const {
+  return static_cast<std::size_t>(settings_.state_limits().txn_ops);
+}
+
+std::size_t GroupCommit::max_values() const {
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(static_cast<double>(max_ops()) / 2 * scale_));
 }
 
 std::uint32_t GroupCommit::choose_slot(const Pending& pending) const {
   // The one with the least to carry; a new one while even that is too much.
-  const auto carry = static_cast<std::size_t>(settings_.state_value_kb * 1024 * k::kSlotCarry);
+  const auto carry =
+      static_cast<std::size_t>(settings_.state_limits().value_kb * 1024 * k::kSlotCarry * scale_);
   std::uint32_t fresh = 0;
   const Slot* best = nullptr;
   std::uint32_t best_number = 0;
@@ -107,7 +120,7 @@
     // and that stands.
     if (job->record.cancelled) final.record.state = wire::JobState::cancelled;
     // One change is kept for the log.
-    if (pending.txn.writes.size() + 3 > static_cast<std::size_t>(settings_.txn_ops)) break;
+    if (pending.txn.writes.size() + 3 > max_ops()) break;
     auto value = ledger::encode(final.record);
     pending.txn.guards.push_back({ledger::job_key(id), job->stamp});
     pending.txn.guards.push_back({ledger::final_key(id), 0});
@@ -166,6 +179,8 @@
     if (record.slot == value.slot || !live(record, pending) || finals_.contains(record.job))
       continue;
     auto packed = record.pack();
+    // By itself larger than any value may be: it must not hold up the others.
+    if (packed.json > limit) continue;
     if (value.json + packed.json > limit) return;
     guard_absent(pending, record);
     put(value, record, std::move(packed));
@@ -192,7 +207,7 @@
                                   ledger::encode_slot(value.number, value.blocks, value.hosts), 0});
     pending.json += value.json + 200;
     pending.values.push_back(std::move(value));
-  } while (!all() && pending.txn.writes.size() < static_cast<std::size_t>(settings_.txn_ops) / 2 &&
+  } while (!all() && pending.txn.writes.size() < max_values() &&
            pending.json + value_limit() < k::kMaxTxnBytes);
 }
 
@@ -245,12 +260,33 @@
       // what is built anew is guarded by the same versions or holds newer
       // numbers, so whichever copy comes second does no harm.
       return read_back(pending);
+    case Outcome::rejected:
+      return shrink(*pending);
     default:
       // Refused, most likely for the rate that all nodes share.
       return pause(k::kCommitRetry);
   }
 }
 
+void GroupCommit::shrink(const Pending& pending) {
+  // Larger than the state service takes, though the settings allow it. Smaller
+  // transactions get through; one that is as small as they come waits.
+  spdlog::error("the state service refuses a transaction of {} changes and about {} bytes",
+                pending.txn.writes.size(), pending.json);
+  accepted_ = 0;
+  if (scale_ > k::kCommitScaleMin) {
+    scale_ = std::max(k::kCommitScaleMin, scale_ / 2);
+    return pause(k::kCommitRetry);
+  }
+  pause(k::kCommitRejectedPause);
+}
+
+void GroupCommit::regain() {
+  if (scale_ >= 1 || ++accepted_ < k::kCommitScaleRegain) return;
+  accepted_ = 0;
+  scale_ = std::min(1.0, scale_ * 2);
+}
+
 void GroupCommit::read_back(const std::shared_ptr<Pending>& pending) {
   busy_ = true;
   // One transaction is applied whole or not at all: one of its values tells.
@@ -286,6 +322,7 @@
 
 void GroupCommit::succeed(const Pending& pending, std::uint64_t revision) {
   events_.confirmed(pending.sent);
+  regain();
   for (const auto& value : pending.values) settle(value, revision);
   for (const auto& id : pending.finals) finished(id);
 }
--- a/src/engine/group_commit.hpp
+++ b/src/engine/group_commit.hpp
@@ -106,7 +106,10 @@
     double sent = 0;
   };
 
+  /// Bytes that a value may take, changes and values that a transaction may have.
   [[nodiscard]] std::size_t value_limit() const;
+  [[nodiscard]] std::size_t max_ops() const;
+  [[nodiscard]] std::size_t max_values() const;
   [[nodiscard]] std::uint32_t choose_slot(const Pending& pending) const;
   void add_finals(Pending& pending);
   [[nodiscard]] bool live(const Record& record, const Pending& pending) const;
@@ -117,6 +120,10 @@
   static void put(Value& value, Record& record, ledger::Packed packed);
   void add_values(Pending& pending);
   void on_result(const std::shared_ptr<Pending>& pending, const ledger::CommitResult& result);
+  /// The service called it malformed: the next ones are smaller.
+  void shrink(const Pending& pending);
+  /// After many accepted ones they may be larger again.
+  void regain();
   void read_back(const std::shared_ptr<Pending>& pending);
   void succeed(const Pending& pending, std::uint64_t revision);
   void settle(const Value& value, std::uint64_t revision);
@@ -140,6 +147,8 @@
   std::uint64_t next_ticket_ = 1;
   std::uint64_t next_number_ = 1;
   bool busy_ = false;
+  double scale_ = 1;  ///< of the limits that transactions keep to
+  int accepted_ = 0;  ///< since that was last changed
   Wake wake_;
   double next_commit_ = -1e18;
   std::uint64_t wait_revision_ = 0;  ///< not before the mirror is this far
--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "config/constants.hpp"
+#include "engine/preemption.hpp"
 
 namespace elmstall::engine {
 
@@ -37,7 +38,8 @@
                        orders_due_ = true;
                      }}),
       model_(context.settings, group_commit_),
-      planner_(context.settings, model_, estimates_),
+      gangs_(context.settings, model_, estimates_),
+      planner_(context.settings, model_, estimates_, gangs_),
       fleet_(context.settings, context.event_loop, context.queue, context.cloud, model_, estimates_,
              term, [this](Host& host) { release_host_tasks(host, "deleted or failed"); }),
       expiry_(context.settings, context.mirror, model_, group_commit_, started_, context.read_state,
@@ -92,6 +94,7 @@
       if (number < job.block_count) adopt_block(job, number, stored);
     }
   }
+  if (job.gang()) gangs_.recover(job, started_);
   if (job.cancelled) cancel(job);
 }
 
@@ -154,7 +157,7 @@
     for (auto& task : block->tasks) {
       planner_.forget(task);
       if (task.phase == Phase::planned || task.phase == Phase::assigned) {
-        stop_task(model_, task, false);
+        stop_task(model_, task, false, context_.event_loop.now());
         // Whatever it was saving is of no use to anybody now.
         task.wind_down_s = 0;
       }
@@ -336,6 +339,8 @@
     const Exited name{report.job, report.index, report.attempt};
     if (ended) {
       host.exited.push_back(name);
+      if (job != nullptr && job->gang() && report.cause == EndCause::done)
+        gangs_.on_late_done(*job, now);
       return;
     }
     host.unrecorded_tasks.push_back(name);
@@ -352,6 +357,7 @@
   if (report.state == TaskState::running && task->running_since == kNever)
     task->running_since = now;
   task->state = report.state;
+  if (job->gang()) gangs_.on_state(*task, report.state, now);
 }
 
 void Leader::task_ended(Task& task, Host& host, const wire::TaskReport& report, double now) {
@@ -365,9 +371,15 @@
       // A service's replica runs until it is cancelled; should one end by
       // itself it is started again.
       if (job.service()) return model_.release(task);
+      if (job.gang()) return gangs_.on_done(job, now);
       return model_.complete(task);
     case EndCause::error:
       return task_failed(task, host, now);
+    default:
+      break;
+  }
+  if (job.gang()) return gangs_.on_exit(task, report.cause, now);
+  switch (report.cause) {
     case EndCause::no_room:
     case EndCause::in_use:
     case EndCause::unknown:
@@ -412,7 +424,9 @@
   const auto tasks = host.tasks;
   for (auto* task : tasks) {
     if (task->phase != Phase::assigned || task->seen) continue;
-    if (task->stopping || task->job->cancelled) model_.release(*task);
+    // A gang that has begun can't be joined any more.
+    const bool over = task->job->gang() && task->job->gang_progress.broken;
+    if (task->stopping || task->job->cancelled || over) model_.release(*task);
     // Otherwise `run` is sent (again): the attempt was never cleared there.
   }
 }
@@ -429,7 +443,7 @@
     const double needs = estimates_.run_time(spec.job_class, spec.expect_s) - ran;
     // What can't end in time starts elsewhere at once.
     if (task->job->service() || spec.checkpoint_every_s > 0 || needs > left)
-      stop_task(model_, *task, true);
+      stop_task(model_, *task, true, now);
   }
 }
 
@@ -440,7 +454,7 @@
   if (job == nullptr) return true;
   if (group_commit_.finishing(exited.job)) return false;
   const auto block =
-      job->blocks.find(exited.index / ledger::block_size(context_.settings.state_value_kb));
+      job->blocks.find(exited.index / ledger::block_size(context_.settings.state.value_kb));
   return block == job->blocks.end() || block->second->record->clean();
 }
 
@@ -461,6 +475,34 @@
   return orders;
 }
 
+void Leader::add_clear_orders(const Host& host, std::vector<wire::Order>& orders) {
+  for (const auto& exited : host.exited) {
+    if (orders.size() >= k::kMaxOrders) return;
+    if (may_clear(exited))
+      orders.push_back({wire::Verb::clear, exited.job, exited.index, exited.attempt, 0});
+  }
+}
+
+void Leader::add_stop_order(Task& task, std::vector<wire::Order>& orders) const {
+  // A task that saves is left alone unless its work is of no use. One that
+  // waits for its gang to have saved may be reported as running.
+  const double now = context_.event_loop.now();
+  if (task.wind_down_s > 0) {
+    if (task.state == TaskState::saving || now < task.stop_sent + k::kStopRepeat) return;
+    task.stop_sent = now;
+  }
+  orders.push_back({wire::Verb::stop, task.job->id, task.index, task.attempt, task.wind_down_s});
+}
+
+bool Leader::run_due(const Task& task, const Host& host) {
+  if (task.seen || task.block->record->written < task.needs) return false;
+  if (task.job->gang() && !gangs_.may_run(task)) return false;
+  // While the machine knows an earlier attempt it would refuse this one.
+  return std::none_of(host.exited.begin(), host.exited.end(), [&](const Exited& exited) {
+    return exited.index == task.index && exited.job == task.job->id && !may_clear(exited);
+  });
+}
+
 std::vector<wire::Order> Leader::orders_for(Host& host) {
   std::vector<wire::Order> orders = cancelled_orders(host);
   const bool starting = may_start();
@@ -468,26 +510,17 @@
     if (orders.size() >= k::kMaxOrders) break;
     orders.push_back({wire::Verb::stop, name.job, name.index, name.attempt, 0});
   }
+  add_clear_orders(host, orders);
   for (auto* task : host.tasks) {
     if (orders.size() >= k::kMaxOrders) break;
-    if (task->phase != Phase::assigned) continue;
-    const auto& id = task->job->id;
-    if (task->job->cancelled) continue;
+    if (task->phase != Phase::assigned || task->job->cancelled) continue;
     if (task->stopping) {
-      // A task that saves is left alone unless its work is of no use.
-      if (task->state != TaskState::saving || task->wind_down_s <= 0) {
-        orders.push_back({wire::Verb::stop, id, task->index, task->attempt, task->wind_down_s});
-      }
-    } else if (starting && !task->seen && task->block->record->written >= task->needs) {
-      orders.push_back({wire::Verb::run, id, task->index, task->attempt, 0});
+      add_stop_order(*task, orders);
+    } else if (starting && run_due(*task, host)) {
+      orders.push_back({wire::Verb::run, task->job->id, task->index, task->attempt, 0});
       task->offered = true;
     }
   }
-  for (const auto& exited : host.exited) {
-    if (orders.size() >= k::kMaxOrders) break;
-    if (may_clear(exited))
-      orders.push_back({wire::Verb::clear, exited.job, exited.index, exited.attempt, 0});
-  }
   return orders;
 }
 
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "engine/fleet_autoscaler.hpp"
+#include "engine/gang_coordinator.hpp"
 #include "engine/host_expiry.hpp"
 #include "engine/planner.hpp"
 #include "engine/read_index.hpp"
@@ -74,6 +75,11 @@
   void absent_tasks(Host& host);
   void handle_recall(Host& host, double now);
   [[nodiscard]] std::vector<wire::Order> orders_for(Host& host);
+  /// Appended for tasks that have exited; the list may grow up to its limit.
+  void add_clear_orders(const Host& host, std::vector<wire::Order>& orders);
+  void add_stop_order(Task& task, std::vector<wire::Order>& orders) const;
+  /// The machine may be told to run the task.
+  [[nodiscard]] bool run_due(const Task& task, const Host& host);
   /// What no answer that renews the machine's lease may lack.
   [[nodiscard]] static std::vector<wire::Order> cancelled_orders(const Host& host);
   /// Nobody can have confirmed a cancellation that this node has not heard of,
@@ -88,6 +94,7 @@
   GroupCommit group_commit_;
   Model model_;
   Estimates estimates_;
+  GangCoordinator gangs_;
   Planner planner_;
   FleetAutoscaler fleet_;
   HostExpiry expiry_;
--- a/src/engine/model.cpp
+++ b/src/engine/model.cpp
@@ -21,7 +21,7 @@
   job->need = {record.spec.cpus, record.spec.gpus, record.spec.memory_gb};
   job->cancelled = record.cancelled;
   job->submitted = submitted;
-  const auto size = ledger::block_size(settings_.state_value_kb);
+  const auto size = ledger::block_size(settings_.state.value_kb);
   job->block_count = (record.spec.tasks + size - 1) / size;
   job->team = settings_.team(record.spec.team);
   job->team_usage = &usage_[record.spec.team];
@@ -50,8 +50,10 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-Job* Model::job_of(sched::TaskId id) {
-  const auto found = by_serial_.find(id >> kIndexBits);
+Job* Model::job_of(sched::TaskId id) { return job_by_serial(id >> kIndexBits); }
+
+Job* Model::job_by_serial(std::uint64_t serial) {
+  const auto found = by_serial_.find(serial);
   return found == by_serial_.end() ? nullptr : found->second;
 }
 
@@ -63,7 +65,7 @@
 
 Task* Model::task(Job& job, std::uint32_t index) {
   if (index >= job.spec.tasks) return nullptr;
-  const auto size = ledger::block_size(settings_.state_value_kb);
+  const auto size = ledger::block_size(settings_.state.value_kb);
   auto& block = load_block(job, index / size, nullptr);
   return block.all_done() ? nullptr : &block.tasks[index - block.first];
 }
@@ -73,7 +75,7 @@
   if (slot) return *slot;
   slot = std::make_unique<Block>();
   auto& block = *slot;
-  const auto size = ledger::block_size(settings_.state_value_kb);
+  const auto size = ledger::block_size(settings_.state.value_kb);
   block.job = &job;
   block.number = number;
   block.first = number * size;
@@ -160,7 +162,18 @@
   return hosts;
 }
 
+void Model::include_gang_need(const Job& job) {
+  if (least_gang_need_) {
+    least_gang_need_ = sched::smaller(*least_gang_need_, job.need);
+    return;
+  }
+  least_gang_need_ = job.need;
+  // No machine was looked at with so small a need in mind.
+  for (auto& [id, host] : hosts_) mark_dirty(*host);
+}
+
 void Model::include_need(const Job& job) {
+  if (job.gang()) return include_gang_need(job);
   auto& least = least_need_;
   const auto take = [](double& smallest, double need) {
     smallest = smallest <= 0 ? need : std::min(smallest, need);
@@ -172,16 +185,16 @@
 }
 
 void Model::refresh_least_need() {
-  least_need_ = {};
-  bool first = true;
+  std::optional<sched::Amount> least;
+  std::optional<sched::Amount> least_of_gangs;
   for (const auto& [id, job] : jobs_) {
     if (job->cancelled) continue;
-    if (first) least_need_ = job->need;
-    first = false;
-    least_need_ = {std::min(least_need_.cpus, job->need.cpus),
-                   std::min(least_need_.gpus, job->need.gpus),
-                   std::min(least_need_.memory_gb, job->need.memory_gb)};
+    auto& smallest = job->gang() ? least_of_gangs : least;
+    smallest = smallest ? sched::smaller(*smallest, job->need) : job->need;
   }
+  least_need_ = least.value_or(sched::Amount{});
+  // The last one known is kept: the next gang is most likely like it.
+  if (least_of_gangs) least_gang_need_ = least_of_gangs;
 }
 
 void Model::set_machine_types(std::vector<wire::MachineType> machine_types) {
@@ -237,6 +250,7 @@
   task.host = nullptr;
   task.offered = task.seen = task.stopping = false;
   task.wind_down_s = 0;
+  task.stop_sent = kNever;
   task.running_since = kNever;
 }
 
@@ -255,13 +269,17 @@
 }
 
 void Model::assign(Task& task, Host& host, double now) {
+  assign(task, host, task.attempt + 1, now);
+}
+
+void Model::assign(Task& task, Host& host, std::uint64_t attempt, double now) {
   if (task.phase == Phase::planned) unplan(task);
   attach(task, host);
   task.phase = Phase::assigned;
   task.state = wire::TaskState::fetching;
   task.since = now;
   attention_.insert(&host);
-  ++task.attempt;
+  task.attempt = attempt;
   mark_dirty(task);
   task.needs = task.block->record->version;
   task.job->begun = true;
@@ -320,13 +338,26 @@
   return found == usage_.end() ? none : found->second;
 }
 
-bool Model::allowed(const Job& job, const Host& host) {
+bool Model::allowed_kind(const Job& job, const Host& host) {
   const auto& spec = job.spec;
   if (host.spot && !spec.spot) return false;
   if (spec.zone && *spec.zone != host.zone) return false;
-  if (!spec.types.empty() &&
-      std::find(spec.types.begin(), spec.types.end(), host.type) == spec.types.end())
-    return false;
+  return spec.types.empty() ||
+         std::find(spec.types.begin(), spec.types.end(), host.type) != spec.types.end();
+}
+
+bool Model::recordable(const Task& task) const {
+  const auto& block = *task.block;
+  if (task.attempt > 0 || block.tasks.size() <= max_started_tasks_) return true;
+  const auto started = std::count_if(block.tasks.begin(), block.tasks.end(), [](const Task& other) {
+    return other.attempt > 0 && other.phase != Phase::done;
+  });
+  return static_cast<std::uint32_t>(started) < max_started_tasks_;
+}
+
+bool Model::allowed(const Job& job, const Host& host) {
+  if (!allowed_kind(job, host)) return false;
+  const auto& spec = job.spec;
   if (spec.together) {
     for (const auto& [zone, count] : job.per_zone) {
       if (zone != host.zone) return false;
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "engine/gang.hpp"
 #include "engine/group_commit.hpp"
 #include "sched/group.hpp"
 #include "sched/resources.hpp"
@@ -53,6 +54,7 @@
   double running_since = kNever;
   bool stopping = false;
   double wind_down_s = 0;
+  double stop_sent = kNever;  ///< when it was last told so with time to save
   double not_before = kNever;
   int failures = 0;
   bool listed = false;  ///< waits in a group's lists
@@ -94,6 +96,7 @@
   std::map<std::string, std::uint32_t> per_zone;
   std::set<std::string> failed_on;
   std::string zone_choice;  ///< for `together`
+  Gang gang_progress;       ///< of a gang
   double failed_until = kNever;
   int failures = 0;
   [[nodiscard]] bool service() const { return spec.kind == wire::JobKind::service; }
@@ -194,12 +197,16 @@
 class Model {
  public:
   Model(const config::Settings& settings, GroupCommit& group_commit)
-      : settings_(settings), group_commit_(group_commit) {}
+      : settings_(settings),
+        group_commit_(group_commit),
+        max_started_tasks_(ledger::max_started_tasks(settings.state_limits().value_kb)) {}
 
   Job& add_job(const std::string& id, const ledger::JobRecord& record, double submitted);
   void remove_job(const std::string& id);
   [[nodiscard]] Job* job(const std::string& id);
   [[nodiscard]] Job* job_of(sched::TaskId id);
+  [[nodiscard]] Job* job_by_serial(std::uint64_t serial);
+  [[nodiscard]] const config::Settings& settings() const { return settings_; }
   [[nodiscard]] Task* task(sched::TaskId id);
   /// The task, its block brought into memory if need be.
   [[nodiscard]] Task* task(Job& job, std::uint32_t index);
@@ -220,6 +227,8 @@
   void unplan(Task& task);
   /// Records host and a new attempt; `run` may be sent once that is written.
   void assign(Task& task, Host& host, double now);
+  /// The same with an attempt that the gang's other tasks share.
+  void assign(Task& task, Host& host, std::uint64_t attempt, double now);
   /// The task is certainly on no machine any more.
   void release(Task& task);
   void complete(Task& task);
@@ -251,12 +260,21 @@
   /// Least that any task takes, in each dimension: a machine with less room
   /// than this has none.
   [[nodiscard]] const sched::Amount& least_need() const { return least_need_; }
+  /// The same for gangs, whose tasks may be far smaller; nothing while there
+  /// has been none.
+  [[nodiscard]] const std::optional<sched::Amount>& least_gang_need() const {
+    return least_gang_need_;
+  }
   void refresh_least_need();
   /// Tasks of this priority that are or may be on machines.
   [[nodiscard]] std::size_t on_hosts(wire::Priority priority) const {
     return on_hosts_[static_cast<std::size_t>(priority)];
   }
 
+  /// Whether the job may run on this machine's type, kind and zone at all.
+  [[nodiscard]] static bool allowed_kind(const Job& job, const Host& host);
+  /// Whether the record of the task's block has room for one more that is started.
+  [[nodiscard]] bool recordable(const Task& task) const;
   /// Rules of placement, given everything that may be on machines now.
   [[nodiscard]] static bool allowed(const Job& job, const Host& host);
   [[nodiscard]] static bool within_quota(const Job& job);
@@ -266,10 +284,12 @@
   void detach(Task& task);
   void mark_dirty(Task& task);
   void include_need(const Job& job);
+  void include_gang_need(const Job& job);
   [[nodiscard]] static ledger::BlockRecord record_of(const Block& block);
 
   const config::Settings& settings_;
   GroupCommit& group_commit_;
+  std::uint32_t max_started_tasks_;  ///< of one block
   std::vector<wire::MachineType> machine_types_;
   std::uint64_t next_serial_ = 1;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
@@ -281,6 +301,7 @@
   HostSet dirty_;
   HostSet attention_;
   sched::Amount least_need_;
+  std::optional<sched::Amount> least_gang_need_;
   std::array<std::size_t, 4> on_hosts_{};  ///< by priority
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::map<std::string, sched::Amount> usage_;
--- a/src/engine/node.cpp
+++ b/src/engine/node.cpp
@@ -22,7 +22,7 @@
       scope_(queue_),
       read_index_(ports.event_loop, queue_, ports.store, mirror_,
                   static_cast<double>(settings.peers.size() + 1) /
-                      (k::kReadIndexShare * settings.state_rps)),
+                      (k::kReadIndexShare * settings.state_limits().rps)),
       user_api_(settings, ports.event_loop, queue_, ports.store, mirror_, read_index_,
                 [this](const std::string& job) { broadcast_cancellation(job); }),
       zone_delegate_(settings, ports.event_loop, queue_, ports.store, mirror_, read_index_),
--- a/src/engine/planner.cpp
+++ b/src/engine/planner.cpp
@@ -4,23 +4,10 @@
 #include <utility>
 
 #include "config/constants.hpp"
+#include "engine/preemption.hpp"
 
 namespace elmstall::engine {
 
-using wire::TaskState;
-
-void stop_task(Model& model, Task& task, bool save, double not_before) {
-  task.not_before = std::max(task.not_before, not_before);
-  if (task.phase == Phase::planned) return model.unplan(task);
-  if (task.phase != Phase::assigned || task.stopping) return;
-  if (!task.offered) return model.release(task);  // it never left us
-  task.stopping = true;
-  model.attention().insert(task.host);
-  const auto& spec = task.job->spec;
-  const bool worth = save && spec.checkpoint_every_s > 0 && task.state == TaskState::running;
-  task.wind_down_s = worth ? spec.save_s : 0;
-}
-
 std::optional<double> aim_s(const config::Settings& settings, const Job& job) {
   if (job.spec.due_s) return job.spec.due_s;
   for (const auto& aim : settings.objectives) {
@@ -40,11 +27,11 @@
   return Model::allowed(job, host) && job.need.fits(host.capacity);
 }
 
-bool Planner::startable(const Task& task, const Host& host, double now) {
+bool Planner::startable(const Task& task, const Host& host, double now) const {
   const auto& job = *task.job;
   return task.phase == Phase::pending && task.not_before <= now && job.failed_until <= now &&
          !job.cancelled && Model::allowed(job, host) && job.need.fits(host.room()) &&
-         Model::within_quota(job);
+         Model::within_quota(job) && model_.recordable(task);
 }
 
 sched::Eligible Planner::eligible() {
@@ -55,15 +42,6 @@
   };
 }
 
-bool Planner::guaranteed(const Job& job) {
-  return job.team != nullptr && sched::within_guarantee(*job.team, *job.team_usage + job.need);
-}
-
-int Planner::precedence(const Job& job) {
-  // Priority first, then guaranteed work, then (in the lists) the deadline.
-  return static_cast<int>(job.spec.priority) * 2 + (guaranteed(job) ? 1 : 0);
-}
-
 void Planner::forget(Task& task) {
   if (!std::exchange(task.listed, false)) return;
   for (auto& [name, group] : groups_) {
@@ -75,11 +53,16 @@
   ++steps_;
   if (!usable(host, now, settings_)) return remove_worker(host);
   const auto room = host.room();
-  if (model_.least_need().fits(room)) {
-    roomy_.insert(&host);
-  } else {
-    roomy_.erase(&host);
-  }
+  const auto note = [&host](HostSet& set, bool belongs) {
+    if (belongs) {
+      set.insert(&host);
+    } else {
+      set.erase(&host);
+    }
+  };
+  note(roomy_, model_.least_need().fits(room));
+  const auto& least_of_gangs = model_.least_gang_need();
+  note(roomy_for_gangs_, least_of_gangs && least_of_gangs->fits(room));
   const auto in_transit = static_cast<std::size_t>(std::count_if(
       host.tasks.begin(), host.tasks.end(),
       [](const Task* task) { return task->phase == Phase::assigned && !task->seen; }));
@@ -107,6 +90,7 @@
 
 void Planner::remove_worker(Host& host) {
   roomy_.erase(&host);
+  roomy_for_gangs_.erase(&host);
   if (const auto found = groups_.find(group_name(host)); found != groups_.end())
     found->second.remove_worker(host.id);
 }
@@ -228,6 +212,7 @@
 void Planner::settle_planned(double now) {
   const auto planned = model_.planned();
   for (auto* task : planned) {
+    if (task->job->gang()) continue;
     auto& host = *task->host;
     if (!usable(host, now, settings_)) {
       model_.unplan(*task);
@@ -244,50 +229,6 @@
   }
 }
 
-double Planner::lost_work(const Task& victim, double now) {
-  if (victim.running_since == kNever) return 0;
-  const double ran = now - victim.running_since;
-  const double every = victim.job->spec.checkpoint_every_s;
-  return every > 0 ? victim.job->spec.save_s : ran;
-}
-
-bool Planner::may_stop(const Job& job, const Task& victim) {
-  const auto& other = *victim.job;
-  if (victim.phase != Phase::assigned || victim.stopping) return false;
-  const bool higher = other.spec.priority > job.spec.priority;
-  const bool lower = other.spec.priority < job.spec.priority;
-  if (other.spec.team == job.spec.team) return lower;
-  // Guarantees go before priorities, here as there: were one work stopped for
-  // its priority and the other for its guarantee, the two would displace each
-  // other for ever.
-  const bool kept =
-      other.team != nullptr && sched::within_guarantee(*other.team, *other.team_usage);
-  const bool owed = guaranteed(job);
-  if (kept != owed) return owed && (!higher || !other.service());
-  return lower;
-}
-
-std::optional<std::vector<Task*>> Planner::victims(const Job& job, const Host& host, double now) {
-  std::vector<Task*> candidates;
-  for (auto* task : host.tasks) {
-    if (may_stop(job, *task)) candidates.push_back(task);
-  }
-  std::sort(candidates.begin(), candidates.end(), [&](const Task* a, const Task* b) {
-    const double x = lost_work(*a, now);
-    const double y = lost_work(*b, now);
-    return x != y ? x < y : a->id < b->id;
-  });
-  auto room = host.room();
-  std::vector<Task*> chosen;
-  for (auto* task : candidates) {
-    if (job.need.fits(room)) break;
-    room += task->job->need;
-    chosen.push_back(task);
-  }
-  if (!job.need.fits(room)) return std::nullopt;
-  return chosen;
-}
-
 double Planner::score(const Job& job, const Host& host) const {
   const auto* machine_type = model_.machine_type(host.type);
   const double rate = machine_type == nullptr || machine_type->fetch_gb_per_s <= 0
@@ -319,7 +260,7 @@
   std::optional<Candidate> best;
   for (const auto& [id, host] : model_.hosts()) {
     if (!usable(*host, now, settings_) || !may_run(job, *host)) continue;
-    auto chosen = victims(job, *host, now);
+    auto chosen = victims(job, *host, job.need, now);
     if (!chosen) continue;
     Candidate candidate{host.get(), score(job, *host), std::move(*chosen)};
     for (const auto* task : candidate.victims) candidate.score -= lost_work(*task, now) * 0.2;
@@ -328,21 +269,11 @@
   return best;
 }
 
-bool Planner::anything_lesser(const Job& job) const {
-  for (int priority = 0; priority < static_cast<int>(job.spec.priority); ++priority) {
-    if (model_.on_hosts(static_cast<wire::Priority>(priority)) > 0) return true;
-  }
-  if (!guaranteed(job)) return false;
-  return std::any_of(settings_.teams.begin(), settings_.teams.end(), [&](const config::Team& team) {
-    return team.name != job.spec.team && !sched::within_guarantee(team, model_.usage(team.name));
-  });
-}
-
 std::optional<Planner::Candidate> Planner::displace(Job& job, double now) {
   // A search walks through all machines: not often for one job, and few in
   // one round.
   if (now < job.searched_at + constants::kDisplaceEvery ||
-      searches_ >= constants::kDisplaceSearches || !anything_lesser(job))
+      searches_ >= constants::kDisplaceSearches || !anything_lesser(settings_, model_, job))
     return std::nullopt;
   ++searches_;
   auto place = best_displacing(job, now);
@@ -377,7 +308,7 @@
     for (auto& task : model_.load_block(job, number, nullptr).tasks) {
       if (task.phase != Phase::pending) continue;
       left = true;
-      if (task.not_before > now) continue;
+      if (task.not_before > now || !model_.recordable(task)) continue;
       if (!Model::within_quota(job)) return true;
       if (auto* host = best_room(job)) {
         model_.assign(task, *host, now);
@@ -386,7 +317,7 @@
       const auto place = displace(job, now);
       if (!place) return true;
       for (auto* victim : place->victims)
-        stop_task(model_, *victim, true, now + constants::kPreemptPause);
+        stop_task(model_, *victim, true, now, now + constants::kPreemptPause);
       model_.plan(task, *place->host);
     }
   }
@@ -405,37 +336,12 @@
     return x != y ? x > y : a->submitted < b->submitted;
   });
   for (auto* job : waiting) {
-    choose_zone(*job, now);
     if (job->gang()) {
-      place_gang(*job, now);
-    } else if (!place_service(*job, now)) {
-      model_.open().erase(job);
-    }
-  }
-}
-
-void Planner::place_gang(Job& job, double now) {
-  // All that wait or none: a gang with a member missing only holds room.
-  std::vector<Task*> waiting;
-  for (std::uint32_t number = 0; number < job.block_count; ++number) {
-    for (auto& task : model_.load_block(job, number, nullptr).tasks) {
-      if (task.phase == Phase::pending) waiting.push_back(&task);
-    }
-  }
-  std::vector<Task*> placed;
-  for (auto* task : waiting) {
-    const bool free = task->not_before <= now && Model::within_quota(job);
-    auto* host = free ? best_room(job) : nullptr;
-    if (host == nullptr) {
-      for (auto* other : placed) model_.unplan(*other);
-      return;
+      if (!gangs_.advance(*job, roomy_for_gangs_, now)) model_.open().erase(job);
+      continue;
     }
-    model_.plan(*task, *host);
-    placed.push_back(task);
-  }
-  for (auto* task : placed) {
-    auto& host = *task->host;
-    model_.assign(*task, host, now);
+    choose_zone(*job, now);
+    if (!place_service(*job, now)) model_.open().erase(job);
   }
 }
 
@@ -539,7 +445,7 @@
     group.each([&](const sched::Queued& entry) {
       const auto* job = model_.job_of(entry.id);
       if (job == nullptr || now < job->searched_at + constants::kDisplaceEvery ||
-          !anything_lesser(*job))
+          !anything_lesser(settings_, model_, *job))
         return;
       const auto found = heads.try_emplace(job->serial, entry);
       if (entry.before(found.first->second)) found.first->second = entry;
@@ -562,13 +468,14 @@
     if (!place) continue;
     forget(*task);
     for (auto* victim : place->victims)
-      stop_task(model_, *victim, true, now + constants::kPreemptPause);
+      stop_task(model_, *victim, true, now, now + constants::kPreemptPause);
     model_.plan(*task, *place->host);
   }
 }
 
 void Planner::decide(double now) {
   searches_ = 0;
+  gangs_.begin_round();
   update_workers(now);
   settle_planned(now);
   place_direct(now);
--- a/src/engine/planner.hpp
+++ b/src/engine/planner.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "engine/estimates.hpp"
+#include "engine/gang_coordinator.hpp"
 #include "engine/model.hpp"
 #include "sched/group.hpp"
 
@@ -9,8 +10,9 @@
 
 class Planner {
  public:
-  Planner(const config::Settings& settings, Model& model, Estimates& estimates)
-      : settings_(settings), model_(model), estimates_(estimates) {}
+  Planner(const config::Settings& settings, Model& model, Estimates& estimates,
+          GangCoordinator& gangs)
+      : settings_(settings), model_(model), estimates_(estimates), gangs_(gangs) {}
 
   void decide(double now);
   /// The task acts as an unrecorded delegate no list any more.
@@ -58,7 +60,6 @@
   void settle_planned(double now);
   void place_direct(double now);
   bool place_service(Job& job, double now);
-  void place_gang(Job& job, double now);
   /// Machines with room, in the order in which tasks should go there.
   [[nodiscard]] std::vector<Host*> by_fullness() const;
   void start_cached(double now);
@@ -70,7 +71,7 @@
   [[nodiscard]] static bool direct(const Job& job) {
     return job.service() || job.gang() || job.spec.together;
   }
-  [[nodiscard]] static bool startable(const Task& task, const Host& host, double now);
+  [[nodiscard]] bool startable(const Task& task, const Host& host, double now) const;
   [[nodiscard]] static bool may_run(const Job& job, const Host& host);
   /// The best machine with room for the job's next task.
   [[nodiscard]] Host* best_room(const Job& job) const;
@@ -78,14 +79,7 @@
   [[nodiscard]] std::optional<Candidate> best_displacing(const Job& job, double now) const;
   /// As above, unless that was tried a moment ago or can't succeed.
   [[nodiscard]] std::optional<Candidate> displace(Job& job, double now);
-  [[nodiscard]] bool anything_lesser(const Job& job) const;
-  [[nodiscard]] static std::optional<std::vector<Task*>> victims(const Job& job, const Host& host,
-                                                                 double now);
-  [[nodiscard]] static bool may_stop(const Job& job, const Task& victim);
-  [[nodiscard]] static double lost_work(const Task& victim, double now);
   [[nodiscard]] double score(const Job& job, const Host& host) const;
-  [[nodiscard]] static int precedence(const Job& job);
-  [[nodiscard]] static bool guaranteed(const Job& job);
   [[nodiscard]] static std::string group_name(const Host& host) {
     return host.type + "/" + host.zone;
   }
@@ -95,8 +89,10 @@
   const config::Settings& settings_;
   Model& model_;
   Estimates& estimates_;
+  GangCoordinator& gangs_;
   std::map<std::string, sched::Group> groups_;
-  HostSet roomy_;  ///< usable, with room for the smallest task
+  HostSet roomy_;            ///< usable, with room for the smallest task
+  HostSet roomy_for_gangs_;  ///< and for the smallest task of a gang
   std::size_t moves_ = 0;
   std::size_t steps_ = 0;
   int searches_ = 0;  ///< for displacements, in this round
@@ -108,8 +104,4 @@
 /// says so: its owner, or the users' aims for its class.
 [[nodiscard]] std::optional<double> aim_s(const config::Settings& settings, const Job& job);
 
-/// Stops a task, with time to save where that keeps work; it is not started
-/// again before `not_before`.
-void stop_task(Model& model, Task& task, bool save, double not_before = kNever);
-
 }  // namespace elmstall::engine
--- /dev/null
+++ b/src/engine/preemption.cpp
@@ -0,0 +1,88 @@
+#include "engine/preemption.hpp"
+
+#include <algorithm>
+
+#include "engine/gang_coordinator.hpp"
+
+namespace elmstall::engine {
+
+using wire::TaskState;
+
+bool guaranteed(const Job& job) {
+  return job.team != nullptr && sched::within_guarantee(*job.team, *job.team_usage + job.need);
+}
+
+int precedence(const Job& job) {
+  return static_cast<int>(job.spec.priority) * 2 + (guaranteed(job) ? 1 : 0);
+}
+
+bool may_stop(const Job& job, const Task& victim) {
+  const auto& other = *victim.job;
+  if (victim.phase != Phase::assigned || victim.stopping) return false;
+  const bool higher = other.spec.priority > job.spec.priority;
+  const bool lower = other.spec.priority < job.spec.priority;
+  if (other.spec.team == job.spec.team) return lower;
+  // Guarantees go before priorities, here as there: were one work stopped for
+  // its priority and the other for its guarantee, the two would displace each
+  // other for ever.
+  const bool kept =
+      other.team != nullptr && sched::within_guarantee(*other.team, *other.team_usage);
+  const bool owed = guaranteed(job);
+  if (kept != owed) return owed && (!higher || !other.service());
+  return lower;
+}
+
+double lost_work(const Task& victim, double now) {
+  if (victim.running_since == kNever) return 0;
+  const auto& spec = victim.job->spec;
+  const double lost = spec.checkpoint_every_s > 0 ? spec.save_s : now - victim.running_since;
+  return victim.job->gang() ? lost * spec.tasks : lost;
+}
+
+std::optional<std::vector<Task*>> victims(const Job& job, const Host& host,
+                                          const sched::Amount& need, double now) {
+  std::vector<Task*> candidates;
+  for (auto* task : host.tasks) {
+    if (may_stop(job, *task)) candidates.push_back(task);
+  }
+  std::sort(candidates.begin(), candidates.end(), [&](const Task* a, const Task* b) {
+    const double x = lost_work(*a, now);
+    const double y = lost_work(*b, now);
+    return x != y ? x < y : a->id < b->id;
+  });
+  auto room = host.room();
+  std::vector<Task*> chosen;
+  for (auto* task : candidates) {
+    if (need.fits(room)) break;
+    room += task->job->need;
+    chosen.push_back(task);
+  }
+  if (!need.fits(room)) return std::nullopt;
+  return chosen;
+}
+
+bool anything_lesser(const config::Settings& settings, const Model& model, const Job& job) {
+  for (int priority = 0; priority < static_cast<int>(job.spec.priority); ++priority) {
+    if (model.on_hosts(static_cast<wire::Priority>(priority)) > 0) return true;
+  }
+  if (!guaranteed(job)) return false;
+  return std::any_of(settings.teams.begin(), settings.teams.end(), [&](const config::Team& team) {
+    return team.name != job.spec.team && !sched::within_guarantee(team, model.usage(team.name));
+  });
+}
+
+void stop_task(Model& model, Task& task, bool save, double now, double not_before) {
+  if (task.job->gang() && !task.job->cancelled)
+    return stop_gang(model, *task.job, save, now, not_before);
+  task.not_before = std::max(task.not_before, not_before);
+  if (task.phase == Phase::planned) return model.unplan(task);
+  if (task.phase != Phase::assigned || task.stopping) return;
+  if (!task.offered) return model.release(task);  // it never left us
+  task.stopping = true;
+  model.attention().insert(task.host);
+  const auto& spec = task.job->spec;
+  const bool worth = save && spec.checkpoint_every_s > 0 && task.state == TaskState::running;
+  task.wind_down_s = worth ? spec.save_s : 0;
+}
+
+}  // namespace elmstall::engine
--- a/src/engine/user_api.cpp
+++ b/src/engine/user_api.cpp
@@ -96,8 +96,16 @@
                need.fits({machine_type.cpus, machine_type.gpus, machine_type.memory_gb});
       });
   if (!fits) return "a task fits no allowed machine type";
-  const double count = spec.kind == wire::JobKind::service ? spec.tasks : 1;
+  // An array runs within any limit that holds one of its tasks; the others need
+  // all of theirs at once.
+  const double count = spec.kind == wire::JobKind::array ? 1 : spec.tasks;
   if (!sched::within_limit(*team, need * count)) return "more than the team's limit";
+  const auto limits = settings_.state_limits();
+  if (spec.kind == wire::JobKind::gang &&
+      !ledger::startable_at_once(spec.tasks, limits.value_kb, settings_.state.value_kb))
+    return "a gang of so many tasks can't be recorded at once";
+  if (ledger::json_size({spec, false, loop_.wall()}) > ledger::value_bytes(limits.value_kb))
+    return "its record is larger than the state service takes";
   return {};
 }
 
@@ -178,8 +186,8 @@
     });
   }
   if (job->record.cancelled) return answer(call, 200, mirror_.status(call->id), false);
-  auto record = job->record;
-  record.cancelled = true;
+  const auto record =
+      ledger::cancelled_record(job->record, ledger::value_bytes(settings_.state_limits().value_kb));
   wire::Txn txn;
   txn.guards = {{ledger::job_key(call->id), job->stamp}};
   txn.writes = {{ledger::job_key(call->id), ledger::encode(record), 0}};
--- a/src/ledger/records.hpp
+++ b/src/ledger/records.hpp
@@ -132,6 +132,20 @@
 [[nodiscard]] DelegationRecord decode_delegation(std::string_view packed);
 [[nodiscard]] FinalRecord decode_final(std::string_view packed);
 
+/// Bytes of one value that may be filled, of a limit in KiB.
+[[nodiscard]] std::size_t value_bytes(double value_kb);
+/// Most bytes that a job's record takes as JSON.
+[[nodiscard]] std::size_t json_size(const JobRecord& record);
+/// The record with its cancel mark. If that takes more than `most` bytes, then
+/// without what only the start of a task needs: the job may have been accepted
+/// under a larger limit, and nothing of it starts any more.
+[[nodiscard]] JobRecord cancelled_record(JobRecord record, std::size_t most);
+
+/// Tasks of one block that may be unfinished and started at once, so that its
+/// record fits into one value: all of them, unless the limit is below some 1.5 KiB.
+[[nodiscard]] std::uint32_t max_started_tasks(double value_kb);
+/// Whether the records can tell of so many started tasks of one job at once.
+[[nodiscard]] bool startable_at_once(std::uint32_t tasks, double value_kb, double partition_kb);
 /// Tasks per block: a full block takes less than half of one value.
 [[nodiscard]] std::uint32_t block_size(double value_kb);
 
--- a/src/sched/resources.hpp
+++ b/src/sched/resources.hpp
@@ -42,6 +42,23 @@
   }
 };
 
+/// The lesser of both in each dimension.
+[[nodiscard]] inline Amount smaller(const Amount& a, const Amount& b) {
+  return {std::min(a.cpus, b.cpus), std::min(a.gpus, b.gpus), std::min(a.memory_gb, b.memory_gb)};
+}
+
+/// How many such tasks fit into the room.
+[[nodiscard]] inline std::size_t slots_in(const Amount& room, const Amount& need) {
+  double most = 1e9;
+  const auto part = [&most](double there, double each) {
+    if (each > 0) most = std::min(most, std::floor((there + Amount::kSlack) / each));
+  };
+  part(room.cpus, need.cpus);
+  part(room.gpus, need.gpus);
+  part(room.memory_gb, need.memory_gb);
+  return static_cast<std::size_t>(std::max(0.0, most));
+}
+
 /// True if `used` stays within the team's hard limit. 0 means no limit.
 [[nodiscard]] inline bool within_limit(const config::Team& team, const Amount& used) {
   return (team.cpus_max <= 0 || used.cpus <= team.cpus_max + Amount::kSlack) &&
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -180,10 +180,33 @@
   return *this;
 }
 
+namespace {
+
+/// Most bytes that the text takes between its quotes: whoever counts may write
+/// characters beyond ASCII as escapes of six bytes for two or three.
+std::size_t escaped_size(std::string_view text) {
+  constexpr unsigned char first_printable = 0x20;
+  constexpr unsigned char first_beyond_ascii = 0x80;
+  std::size_t total = 0;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte < first_printable) {
+      total += 6;
+    } else if (c == '"' || c == '\\') {
+      total += 2;
+    } else {
+      total += byte < first_beyond_ascii ? 1 : 3;
+    }
+  }
+  return total;
+}
+
+}  // namespace
+
 std::size_t json_size(const Object& object) {
   switch (object.type) {
     case msgpack::type::STR:
-      return object.via.str.size + 2;
+      return escaped_size({object.via.str.ptr, object.via.str.size}) + 2;
     case msgpack::type::ARRAY: {
       std::size_t total = 2;
       for (const auto& item : object.via.array) total += json_size(item) + 1;
--- a/src/wire/jobs.hpp
+++ b/src/wire/jobs.hpp
@@ -11,8 +11,7 @@
 
 namespace elmstall::wire {
 
-/// A gang is an array whose tasks run at the same time. The protocol page
-/// names only the other two, but the platform's own trial run submits gangs.
+/// All tasks of a gang run at the same time, or none does.
 enum class JobKind : std::uint8_t { array, service, gang };
 enum class Priority : std::uint8_t { idle, normal, high, critical };
 enum class JobState : std::uint8_t { queued, running, done, cancelled };
--- a/src/wire/workers.cpp
+++ b/src/wire/workers.cpp
@@ -9,16 +9,19 @@
 namespace elmstall::wire {
 namespace {
 
-constexpr Names<TaskState, 4> kTaskStates{{{"fetching", TaskState::fetching},
+constexpr Names<TaskState, 5> kTaskStates{{{"fetching", TaskState::fetching},
+                                           {"gathering", TaskState::gathering},
                                            {"running", TaskState::running},
                                            {"flushing", TaskState::saving},
                                            {"ended", TaskState::ended}}};
-constexpr Names<EndCause, 6> kCauses{{{"done", EndCause::done},
+constexpr Names<EndCause, 8> kCauses{{{"done", EndCause::done},
                                       {"halted", EndCause::stopped},
                                       {"error", EndCause::error},
                                       {"no_room", EndCause::no_room},
                                       {"in_use", EndCause::in_use},
-                                      {"unknown", EndCause::unknown}}};
+                                      {"unknown", EndCause::unknown},
+                                      {"mates_gone", EndCause::mates_gone},
+                                      {"incomplete", EndCause::incomplete}}};
 constexpr Names<Verb, 3> kVerbs{{{"run", Verb::run}, {"kill", Verb::stop}, {"clear", Verb::clear}}};
 
 void pack_orders(Packer& packer, const std::vector<Order>& orders) {
@@ -60,7 +63,7 @@
 
 std::string encode_report(const Report& report) {
   Packer packer;
-  packer.map(9)
+  packer.map(10)
       .key("host")
       .text(report.host)
       .key("addr")
@@ -73,6 +76,12 @@
       .flag(report.spot)
       .key("shift")
       .integer(report.session);
+  packer.key("recall_s");
+  if (report.recall_s) {
+    packer.number(*report.recall_s);
+  } else {
+    packer.null();
+  }
   packer.key("tick")
       .integer(report.tick)
       .key("baton")
--- a/src/wire/workers.hpp
+++ b/src/wire/workers.hpp
@@ -11,9 +11,23 @@
 
 namespace elmstall::wire {
 
-/// `other`: a state that this program does not know.
-enum class TaskState : std::uint8_t { fetching, running, saving, ended, other };
-enum class EndCause : std::uint8_t { none, done, stopped, error, no_room, in_use, unknown, other };
+/// `gathering`: waits for the other tasks of its gang. `other`: a state that
+/// this program does not know.
+enum class TaskState : std::uint8_t { fetching, gathering, running, saving, ended, other };
+/// `mates_gone`: another task of the gang is gone. `incomplete`: the gang was
+/// not complete in time.
+enum class EndCause : std::uint8_t {
+  none,
+  done,
+  stopped,
+  error,
+  no_room,
+  in_use,
+  unknown,
+  mates_gone,
+  incomplete,
+  other
+};
 
 /// One task as a worker reports it.
 struct TaskReport {
--- /dev/null
+++ b/tests/falling_limits_test.cpp
@@ -0,0 +1,143 @@
+// Limits of the state service that are announced and fall at any moment, with
+// gangs and with faults around it: nothing is refused for its size, and the
+// rules hold.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "support/faults.hpp"
+#include "support/scenarios.hpp"
+
+namespace elmstall::test {
+namespace {
+
+constexpr config::StateLimits kNext{120, 18, 0.8, 4};
+
+unsigned last_seed() {
+  const char* wanted = std::getenv("ELMSTALL_CHAOS_SEEDS");
+  return wanted == nullptr ? 30 : static_cast<unsigned>(std::max(1, std::atoi(wanted)));
+}
+
+class FallingLimits : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(FallingLimits, TheRulesHoldAndNothingIsTooLarge) {
+  const auto seed = GetParam();
+  World world(90'000 + seed, 3 + seed % 3, kNext);
+  world.loss = 0.01;
+  world.cloud.capacity = 40;
+  const auto& faults = concurrent_faults();
+  std::string story;
+  int jobs = 0;
+  const double falls_at = 40 + world.random() * 80;
+  bool fallen = false;
+  double next_fault = 30;
+  for (double t = 0; t < 220; t += 1) {
+    world.run_until(t);
+    if (t < 170 && world.random() < 0.2) {
+      ++jobs;
+      world.submit(world.random() < 0.5 ? random_gang(world, jobs) : random_job(world, jobs));
+    }
+    if (jobs > 0 && world.random() < 0.04)
+      world.cancel("job-" + std::to_string(1 + world.pick(static_cast<std::size_t>(jobs))));
+    if (jobs > 0)
+      world.poll("job-" + std::to_string(1 + world.pick(static_cast<std::size_t>(jobs))));
+    if (!fallen && t >= falls_at) {
+      fallen = true;
+      world.lower_state_limits();
+      story += " | limits at " + std::to_string(static_cast<int>(t));
+    }
+    if (t >= next_fault && t < 165) {
+      const auto& fault = faults[world.pick(faults.size())];
+      story += " | " + std::to_string(static_cast<int>(t)) + " s: " + fault.name;
+      fault.begin(world, world.pick(3), 2 + world.random() * 20);
+      next_fault = t + 8 + world.random() * 25;
+    }
+    ASSERT_TRUE(world.rules.broken().empty())
+        << "at " << t << " s: " << world.rules.broken().front() << story;
+  }
+  world.run_until(245);
+  world.loss = 0;
+  std::map<std::string, double> waits_since;
+  for (double t = 245; t < 355; t += 1) {
+    world.run_until(t);
+    for (int job = 1; job <= jobs; ++job) {
+      if (job % 5 == static_cast<int>(t) % 5) world.poll("job-" + std::to_string(job));
+    }
+    const auto waiting = world.waiting_beside_room();
+    std::erase_if(waits_since, [&](const auto& entry) {
+      return std::find(waiting.begin(), waiting.end(), entry.first) == waiting.end();
+    });
+    for (const auto& id : waiting) {
+      const double since = waits_since.try_emplace(id, t).first->second;
+      ASSERT_LT(t - since, 90) << id << " waits beside room" << story;
+    }
+    for (const auto& id : world.rules.accepted_jobs())
+      ASSERT_TRUE(t < 320 || world.answered_at(id) > t - 75) << id << " is not answered" << story;
+    ASSERT_TRUE(world.rules.broken().empty())
+        << "at " << t << " s: " << world.rules.broken().front() << story;
+  }
+  EXPECT_EQ(world.state.rejected, 0U) << story;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FallingLimits, ::testing::Range(1U, last_seed() + 1));
+
+/// Accepted under the larger limit, as an earlier version would have: its record
+/// can't be written again as it is.
+TEST(LargeJobRecord, IsCancelledAndEndedUnderTheSmallerLimit) {
+  World world(901, 3, kNext);
+  world.run_until(5);
+  auto job = array(1, 2, 500);
+  job.image = std::string(180, 'i');
+  for (int i = 0; i < 55; ++i) job.types.push_back("m12");
+  world.expect(job);
+  world.rules.told_accepted(world.loop.now(), job.id);
+  wire::Txn txn;
+  txn.writes = {{ledger::job_key(job.id), ledger::encode(ledger::JobRecord{job, false, 0}), 0}};
+  ASSERT_EQ(world.state.commit(txn).outcome, ledger::Outcome::ok);
+  world.run_until(40);
+  ASSERT_EQ(placed(world, "job-1"), 2U);
+  world.lower_state_limits();
+  EXPECT_TRUE(world.cancel_at(0, "job-1"));
+  world.run_until(world.loop.now() + 30);
+  EXPECT_EQ(placed(world, "job-1"), 0U);
+  EXPECT_EQ(told(world, "job-1"), wire::JobState::cancelled);
+  EXPECT_EQ(world.state.rejected, 0U);
+  expect_rules(world);
+}
+
+TEST(LargeJobRecord, IsRefusedAtOnceByEveryControllerAndItsRepeatToo) {
+  World world(902, 3, kNext);
+  world.run_until(5);
+  auto job = array(1, 2);
+  // As large as a record may be now, and larger than it may be then.
+  for (int i = 0; i < 80; ++i) job.types.push_back("m12");
+  wire::Packer packer;
+  wire::pack_job(packer, job);
+  const auto body = packer.take();
+  for (std::size_t node = 0; node < 3; ++node) {
+    for (int time = 0; time < 2; ++time) {
+      const auto answer = world.answer_of(node, {"POST", "/api/jobs", body}, 0.5);
+      ASSERT_TRUE(answer);
+      EXPECT_EQ(answer->status, 422);
+    }
+  }
+}
+
+TEST(LargeJobRecord, OfAnAcceptedJobKeepsItsAnswer) {
+  World world(903, 3, kNext);
+  world.run_until(5);
+  auto job = array(1, 2);
+  for (int i = 0; i < 80; ++i) job.types.push_back("m12");
+  wire::Txn txn;
+  txn.writes = {{ledger::job_key(job.id), ledger::encode(ledger::JobRecord{job, false, 0}), 0}};
+  ASSERT_EQ(world.state.commit(txn).outcome, ledger::Outcome::ok);
+  world.run_until(8);
+  wire::Packer packer;
+  wire::pack_job(packer, job);
+  const auto answer = world.answer_of(1, {"POST", "/api/jobs", packer.take()}, 1);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+}
+
+}  // namespace
+}  // namespace elmstall::test
--- /dev/null
+++ b/tests/gang_placement_test.cpp
@@ -0,0 +1,103 @@
+// Places for whole gangs, compared with a slow plain model that tries every
+// distribution.
+#include "sched/gang_placement.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace elmstall::sched {
+namespace {
+
+/// Whether any distribution holds all tasks: tries every count on each site.
+bool possible(const std::vector<GangSite>& sites, const GangRequest& request, bool displace,
+              std::size_t site, std::map<std::string, std::size_t> in_zone, std::size_t left) {
+  if (left == 0) {
+    std::size_t zones = 0;
+    for (const auto& [zone, count] : in_zone) {
+      if (count > 0) ++zones;
+      if (request.zone_limit > 0 && count > request.zone_limit) return false;
+    }
+    return !request.together || zones <= 1;
+  }
+  if (site == sites.size()) return false;
+  const auto slots = sites[site].free_slots + (displace ? sites[site].extra_slots : 0);
+  for (std::size_t count = 0; count <= std::min(slots, left); ++count) {
+    auto next = in_zone;
+    next[sites[site].zone] += count;
+    if (possible(sites, request, displace, site + 1, next, left - count)) return true;
+  }
+  return false;
+}
+
+class GangPlacement : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(GangPlacement, FindsPlacesWheneverThereAreAny) {
+  std::mt19937 random(GetParam());
+  const auto pick = [&](std::size_t most) { return random() % (most + 1); };
+  for (int round = 0; round < 200; ++round) {
+    std::vector<GangSite> sites(1 + pick(4));
+    for (std::size_t i = 0; i < sites.size(); ++i) {
+      sites[i] = {i,
+                  i % 2 == 0 ? "north" : "south",
+                  pick(3),
+                  pick(2),
+                  pick(4) == 0,
+                  pick(1) == 0,
+                  static_cast<double>(pick(3)),
+                  static_cast<double>(pick(9))};
+    }
+    GangRequest request;
+    request.tasks = 1 + pick(6);
+    request.together = pick(1) == 0;
+    if (!request.together && pick(1) == 0) request.zone_limit = (request.tasks + 1) / 2;
+    const bool displace = pick(1) == 0;
+    const auto shares = place_gang(sites, request, displace);
+    ASSERT_EQ(shares.has_value(), possible(sites, request, displace, 0, {}, request.tasks));
+    if (!shares) continue;
+    std::size_t placed = 0;
+    std::map<std::string, std::size_t> in_zone;
+    for (const auto& share : *shares) {
+      const auto& site = sites[share.site];
+      EXPECT_LE(share.tasks - share.displacing, site.free_slots);
+      EXPECT_LE(share.displacing, displace ? site.extra_slots : 0);
+      placed += share.tasks;
+      in_zone[site.zone] += share.tasks;
+    }
+    EXPECT_EQ(placed, request.tasks);
+    EXPECT_TRUE(!request.together || in_zone.size() == 1);
+    for (const auto& [zone, count] : in_zone)
+      EXPECT_TRUE(request.zone_limit == 0 || count <= request.zone_limit);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, GangPlacement, ::testing::Range(1U, 6U));
+
+TEST(GangPlacementOrder, TheImageThenRoomThatOthersCantUse) {
+  std::vector<GangSite> sites(3);
+  sites[0] = {0, "north", 2, 0, false, false, 0, 0};
+  sites[1] = {1, "north", 2, 0, false, true, 3, 0};
+  sites[2] = {2, "north", 2, 0, false, true, 0, 0};
+  const auto shares = place_gang(sites, {3, true, 0}, false);
+  ASSERT_TRUE(shares);
+  ASSERT_EQ(shares->size(), 2U);
+  EXPECT_EQ((*shares)[0].site, 1U);
+  EXPECT_EQ((*shares)[0].tasks, 1U);
+  EXPECT_EQ((*shares)[1].site, 2U);
+  EXPECT_EQ((*shares)[1].tasks, 2U);
+}
+
+TEST(GangPlacementOrder, AZoneWithRoomGoesBeforeOneWhereOthersMustStop) {
+  std::vector<GangSite> sites(2);
+  sites[0] = {0, "north", 1, 5, false, true, 0, 1};
+  sites[1] = {1, "south", 2, 0, false, false, 9, 0};
+  const auto shares = place_gang(sites, {2, true, 0}, true);
+  ASSERT_TRUE(shares);
+  ASSERT_EQ(shares->size(), 1U);
+  EXPECT_EQ(shares->front().site, 1U);
+  EXPECT_EQ(shares->front().displacing, 0U);
+}
+
+}  // namespace
+}  // namespace elmstall::sched
--- /dev/null
+++ b/tests/gang_test.cpp
@@ -0,0 +1,371 @@
+// Gangs: whole or not at all, through every failure of one of their tasks.
+#include <gtest/gtest.h>
+
+#include "support/scenarios.hpp"
+
+namespace elmstall::test {
+namespace {
+
+using wire::JobState;
+
+/// Two of its tasks fill a machine of the test world.
+wire::JobSpec gang(int number, std::uint32_t tasks, double expect_s = 20) {
+  auto job = array(number, tasks, expect_s);
+  job.kind = wire::JobKind::gang;
+  job.job_class = "joint";
+  job.spot = false;
+  job.checkpoint_every_s = 5;
+  job.save_s = 2;
+  return job;
+}
+
+engine::Job* job_at_leader(World& world, const std::string& id) {
+  auto* node = world.leader();
+  return node == nullptr ? nullptr : node->leader()->model().job(id);
+}
+
+engine::Gang::State state_of(World& world, const std::string& id) {
+  const auto* job = job_at_leader(world, id);
+  return job == nullptr ? engine::Gang::State::done : job->gang_progress.state;
+}
+
+/// Until the gang is in this state; false if that took too long.
+bool wait_for(World& world, const std::string& id, engine::Gang::State state, double most = 60) {
+  for (const double end = world.loop.now() + most; world.loop.now() < end;) {
+    if (state_of(world, id) == state) return true;
+    world.run_until(world.loop.now() + 0.02);
+  }
+  return false;
+}
+
+/// Tasks that wait for the others, as their machines show.
+std::size_t gathering(World& world, const std::string& id) {
+  std::size_t count = 0;
+  auto* job = job_at_leader(world, id);
+  if (job == nullptr) return 0;
+  for (const auto& [number, block] : job->blocks) {
+    for (const auto& task : block->tasks) {
+      if (task.phase == engine::Phase::assigned && task.state == wire::TaskState::gathering)
+        ++count;
+    }
+  }
+  return count;
+}
+
+TEST(Gang, AllTasksCompleteWithTheFirst) {
+  World world(801);
+  world.submit(gang(1, 6));
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
+  EXPECT_EQ(world.rules.present("job-1"), 6U);
+  world.run_until(world.loop.now() + 60);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
+  EXPECT_EQ(world.gangs.begun(), 1U);
+  expect_rules(world);
+}
+
+TEST(Gang, OfManyBlocksStartsOnlyWhenAllOfThemAreRecorded) {
+  // Blocks of 8 tasks and transactions of a few values: several commits.
+  World world(802);
+  world.cloud.capacity = 60;
+  auto large = gang(1, 70, 10);
+  large.cpus = 1;
+  large.gpus = 0;
+  large.memory_gb = 5;
+  world.submit(large);
+  bool seen_some = false;
+  for (double t = 1; t < 60 && world.gangs.begun() == 0; t += 0.01) {
+    world.run_until(t);
+    auto* job = job_at_leader(world, "job-1");
+    if (job == nullptr || job->gang_progress.state != engine::Gang::State::starting) continue;
+    bool offered = false;
+    bool unwritten = false;
+    for (const auto& [number, block] : job->blocks) {
+      for (const auto& task : block->tasks) {
+        offered = offered || task.offered;
+        unwritten = unwritten || block->record->written < task.needs;
+      }
+    }
+    seen_some = seen_some || unwritten;
+    ASSERT_FALSE(offered && unwritten) << "at " << t;
+  }
+  EXPECT_TRUE(seen_some);
+  EXPECT_EQ(world.gangs.begun(), 1U);
+  world.run_until(world.loop.now() + 40);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
+  expect_rules(world);
+}
+
+TEST(Gang, OfOneTaskIsAGangToo) {
+  World world(803);
+  world.submit(gang(1, 1, 5));
+  world.run_until(60);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
+  expect_rules(world);
+}
+
+TEST(Gang, ALossWhileOthersWaitIsReplacedUnderTheSameAttempt) {
+  World world(804);
+  // Another one keeps machines alive that have room.
+  auto spare = gang(2, 4, 500);
+  spare.cpus = 1;
+  spare.gpus = 0;
+  world.submit(spare);
+  ASSERT_TRUE(wait_for(world, "job-2", engine::Gang::State::running));
+  world.submit(gang(1, 4));
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::starting));
+  // The last machine of the four that never gets its image.
+  auto& job = *job_at_leader(world, "job-1");
+  auto* last = world.workers.at(job.blocks.begin()->second->tasks[3].host->id).get();
+  last->hang(100);
+  for (double end = world.loop.now() + 10;
+       world.loop.now() < end && gathering(world, "job-1") == 0;)
+    world.run_until(world.loop.now() + 0.02);
+  ASSERT_GT(gathering(world, "job-1"), 0U);
+  const auto attempt = job.gang_progress.attempt;
+  last->die();
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
+  EXPECT_EQ(job_at_leader(world, "job-1")->gang_progress.attempt, attempt);
+  EXPECT_EQ(world.gangs.failed(), 0U);
+  expect_rules(world);
+}
+
+TEST(Gang, ALossThatComesTooLateForTheOthersBeginsANewAttempt) {
+  World world(805);
+  world.settings.gang_wait_s = 9;
+  for (std::size_t i = 0; i < world.node_count(); ++i) world.set_gang_wait(i, 9);
+  world.submit(gang(1, 4));
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::starting));
+  auto& job = *job_at_leader(world, "job-1");
+  const auto attempt = job.gang_progress.attempt;
+  auto* last = world.workers.at(job.blocks.begin()->second->tasks[3].host->id).get();
+  last->hang(100);
+  world.run_until(world.loop.now() + 5);
+  last->die();
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running, 120));
+  EXPECT_GT(job_at_leader(world, "job-1")->gang_progress.attempt, attempt);
+  expect_rules(world);
+}
+
+TEST(Gang, ALostMachineEndsTheAttemptAndTheNextGoesOnFromTheCheckpoint) {
+  World world(805);
+  world.submit(gang(1, 4, 40));
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
+  world.run_until(world.loop.now() + 12);
+  worker_of(world, "job-1")->die();
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::ending));
+  EXPECT_EQ(world.gangs.progress("job-1"), 10);
+  world.run_until(world.loop.now() + 120);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
+  EXPECT_EQ(world.gangs.begun(), 2U);
+  expect_rules(world);
+}
+
+TEST(Gang, AMachineThatHangsWithinItsLeaseEndsTheAttempt) {
+  World world(806);
+  world.settings.gang_peer_s = 2;
+  world.submit(gang(1, 4, 30));
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
+  worker_of(world, "job-1")->hang(5);
+  world.run_until(world.loop.now() + 120);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
+  EXPECT_EQ(world.gangs.failed(), 1U);
+  expect_rules(world);
+}
+
+TEST(Gang, IsStoppedWholeAndInTimeToSave) {
+  World world(807);
+  world.cloud.capacity = 2;
+  auto job = gang(1, 4, 60);
+  job.priority = wire::Priority::idle;
+  world.submit(job);
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
+  world.run_until(world.loop.now() + 7);
+  auto urgent = service(2, 1);
+  urgent.spread = false;
+  world.submit(urgent);
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::stopping));
+  world.run_until(world.loop.now() + 10);
+  EXPECT_EQ(world.gangs.saved(), 1U);
+  EXPECT_EQ(world.gangs.failed(), 0U);
+  EXPECT_GT(world.gangs.progress("job-1"), 6);
+  EXPECT_EQ(world.rules.present("job-2"), 1U);
+  EXPECT_EQ(world.rules.present("job-1"), 0U) << "there is no room for all of it";
+  expect_rules(world);
+}
+
+TEST(Gang, ASpotNoticeBeginsTheStopForAll) {
+  World world(808);
+  auto job = gang(1, 4, 60);
+  job.spot = true;
+  world.submit(job);
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
+  world.run_until(world.loop.now() + 7);
+  worker_of(world, "job-1")->recall_at = world.loop.now() + 20;
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::stopping));
+  world.run_until(world.loop.now() + 6);
+  EXPECT_EQ(world.gangs.saved(), 1U);
+  expect_rules(world);
+}
+
+TEST(Gang, ANoticeTooShortToSaveIsAPlainLoss) {
+  World world(809);
+  auto job = gang(1, 4, 60);
+  job.spot = true;
+  world.submit(job);
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
+  world.run_until(world.loop.now() + 7);
+  worker_of(world, "job-1")->recall_at = world.loop.now() + 2;
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::ending));
+  world.run_until(world.loop.now() + 5);
+  EXPECT_EQ(world.gangs.saved(), 0U);
+  EXPECT_EQ(world.gangs.progress("job-1"), 5);
+  expect_rules(world);
+}
+
+TEST(Gang, ATakeoverInTheMiddleOfAStopSendsTheRest) {
+  World world(810);
+  world.cloud.capacity = 2;
+  auto job = gang(1, 4, 60);
+  job.priority = wire::Priority::idle;
+  world.submit(job);
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
+  world.run_until(world.loop.now() + 7);
+  auto urgent = service(2, 1);
+  urgent.spread = false;
+  // The first command that reaches a machine is the last of this leader.
+  bool stopping = false;
+  world.on_orders = [&] {
+    if (stopping || state_of(world, "job-1") != engine::Gang::State::stopping) return;
+    stopping = true;
+    world.loop.after(0.0005, [&world] { world.crash(leader_index(world), 8); });
+  };
+  world.submit(urgent);
+  world.run_until(world.loop.now() + 60);
+  world.on_orders = {};
+  EXPECT_TRUE(stopping);
+  EXPECT_EQ(world.rules.present("job-2"), 1U);
+  expect_rules(world);
+}
+
+TEST(Gang, ATakeoverWhileItGathersLosesNothing) {
+  World world(811);
+  auto job = gang(1, 4);
+  job.image_gb = 4;
+  world.submit(job);
+  for (double t = 1; t < 60 && placed(world, "job-1") < 4; t += 0.02) world.run_until(t);
+  world.run_until(world.loop.now() + 1);
+  world.crash(leader_index(world), 8);
+  world.run_until(world.loop.now() + 90);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
+  EXPECT_EQ(world.gangs.begun(), 1U);
+  expect_rules(world);
+}
+
+TEST(Gang, ATakeoverBetweenItsCommitsStartsNoPartOfIt) {
+  World world(812);
+  world.cloud.capacity = 60;
+  auto large = gang(1, 70, 10);
+  large.cpus = 1;
+  large.gpus = 0;
+  large.memory_gb = 5;
+  bool crashed = false;
+  world.state.on_commit = [&](const wire::Txn&) {
+    auto* node = world.leader();
+    if (crashed || node == nullptr) return;
+    auto* job = node->leader()->model().job("job-1");
+    if (job == nullptr || job->gang_progress.state != engine::Gang::State::starting) return;
+    crashed = true;
+    world.loop.after(0, [&world] { world.crash(leader_index(world), 5); });
+  };
+  world.submit(large);
+  world.run_until(120);
+  world.state.on_commit = {};
+  EXPECT_TRUE(crashed);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
+  EXPECT_EQ(world.gangs.failed(), 0U);
+  expect_rules(world);
+}
+
+TEST(Gang, StaysTogetherAcrossAttempts) {
+  World world(813);
+  auto job = gang(1, 4, 40);
+  job.together = true;
+  world.submit(job);
+  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
+  world.run_until(world.loop.now() + 6);
+  // What is cut off keeps its zone until its lease is over.
+  auto* lost = worker_of(world, "job-1");
+  lost->cut = true;
+  world.run_until(world.loop.now() + 120);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
+  expect_rules(world);
+}
+
+TEST(Gang, ACancellationEndsItAtEachMoment) {
+  for (const double after : {0.05, 1.0, 3.0, 8.0, 15.0}) {
+    World world(820);
+    world.submit(gang(1, 4, 60));
+    for (double t = 1; t < 60 && placed(world, "job-1") < 4; t += 0.02) world.run_until(t);
+    world.run_until(world.loop.now() + after);
+    world.cancel("job-1");
+    world.run_until(world.loop.now() + 10);
+    EXPECT_EQ(world.rules.present("job-1"), 0U) << after;
+    EXPECT_EQ(told(world, "job-1"), JobState::cancelled);
+    expect_rules(world);
+  }
+}
+
+TEST(Gang, ATaskThatAlwaysFailsDoesNotBurnTheFleet) {
+  World world(830);
+  world.submit(gang(1, 2, 10));
+  world.submit(gang(2, 2, 10));
+  world.run_until(20);
+  for (auto& [id, worker] : world.workers) worker->fail_share = 1;
+  const auto before = world.rules.starts();
+  world.run_until(140);
+  EXPECT_LT(world.rules.starts() - before, 120U);
+  expect_rules(world);
+}
+
+TEST(Gang, WaitingOnesNeitherBlockEachOtherNorStarveBehindArrays) {
+  World world(840);
+  world.cloud.capacity = 4;
+  // Arrays that take every place as it comes free.
+  for (int i = 10; i < 30; ++i) world.submit(array(i, 8, 10));
+  world.run_until(25);
+  auto first = gang(1, 6, 15);
+  first.spot = true;
+  auto second = gang(2, 6, 15);
+  second.spot = true;
+  world.submit(first);
+  world.submit(second);
+  world.run_until(230);
+  EXPECT_EQ(told(world, "job-1"), JobState::done);
+  EXPECT_EQ(told(world, "job-2"), JobState::done);
+  expect_rules(world);
+}
+
+TEST(Gang, AboveItsTeamsLimitIsRefusedAtOnce) {
+  World world(850);
+  world.run_until(5);
+  auto job = gang(1, 9);  // red may use 8 GPUs
+  job.team = "red";
+  wire::Packer packer;
+  wire::pack_job(packer, job);
+  const auto answer = world.answer_of(0, {"POST", "/api/jobs", packer.take()}, 1);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 422);
+}
+
+TEST(GangStates, OnlyTheListedOnesFollowEachOther) {
+  using State = engine::Gang::State;
+  EXPECT_TRUE(engine::may_follow(State::waiting, State::starting));
+  EXPECT_TRUE(engine::may_follow(State::stopping, State::waiting));
+  EXPECT_FALSE(engine::may_follow(State::waiting, State::running));
+  EXPECT_FALSE(engine::may_follow(State::ending, State::starting));
+  EXPECT_FALSE(engine::may_follow(State::running, State::waiting));
+  EXPECT_FALSE(engine::may_follow(State::done, State::waiting));
+}
+
+}  // namespace
+}  // namespace elmstall::test
--- a/tests/group_commit_test.cpp
+++ b/tests/group_commit_test.cpp
@@ -27,8 +27,8 @@
         store_(loop_, state_, 8),
         queue_(event_loop_, [] {}),
         scope_(queue_) {
-    settings_.state_value_kb = 1;
-    settings_.txn_ops = 8;
+    settings_.state.value_kb = 1;
+    settings_.state.txn_ops = 8;
     wire::Txn txn;
     txn.writes = {{std::string(ledger::kTermKey), ledger::encode(ledger::TermRecord{1}), 0}};
     state_.commit(txn);
@@ -153,7 +153,7 @@
 /// Until a job's last word is written its blocks stay in the log: a leader
 /// that found none would hand out its attempt numbers again.
 TEST_F(GroupCommitTest, BlocksOutliveTheirSlotUntilTheFinalState) {
-  settings_.txn_ops = 4;  // one last word at a time
+  settings_.state.txn_ops = 4;  // one last word at a time
   for (int i = 0; i < 40; ++i) change(add_block(i));
   run(10);
   // Far more last words than one transaction takes, while every commit
@@ -220,5 +220,55 @@
   EXPECT_EQ(stored_attempt("job-1"), 0U);
 }
 
+TEST_F(GroupCommitTest, KeepsToTheLimitsThatAreAnnounced) {
+  settings_.state.value_kb = 4;
+  settings_.state_next = config::StateLimits{120, 18, 1, 4};
+  state_.limits = settings_.state_limits();
+  for (int i = 0; i < 80; ++i) change(add_block(i));
+  run(6);
+  for (auto& [id, block] : blocks_) EXPECT_EQ(stored_attempt(id), 1U) << id;
+  EXPECT_EQ(state_.rejected, 0U);
+}
+
+TEST_F(GroupCommitTest, TransactionsShrinkWhenTheServiceTakesLessThanItSaid) {
+  settings_.state.value_kb = 4;
+  state_.limits = config::StateLimits{120, 25, 1.2, 4};
+  for (int i = 0; i < 80; ++i) change(add_block(i));
+  run(10);
+  for (auto& [id, block] : blocks_) EXPECT_EQ(stored_attempt(id), 1U) << id;
+  EXPECT_GT(state_.rejected, 0U);
+  EXPECT_LT(state_.rejected, 10U) << "the same again and again";
+}
+
+TEST_F(GroupCommitTest, ARecordThatFitsNowhereHoldsUpNoOther) {
+  auto& large = add_block(0);
+  large.entry.record.tasks.assign(60, {0, 0, "host-000001"});
+  change(large);
+  for (int i = 1; i < 10; ++i) change(add_block(i));
+  run(3);
+  for (auto& [id, block] : blocks_) {
+    if (&block != &large) {
+      EXPECT_EQ(stored_attempt(id), 1U) << id;
+    }
+  }
+}
+
+TEST_F(GroupCommitTest, LargeValuesOfBeforeAreCarriedOnInSmallerOnes) {
+  settings_.state.value_kb = 4;
+  for (int i = 0; i < 60; ++i) change(add_block(i));
+  run(3);
+  settings_.state_next = config::StateLimits{120, 18, 1, 4};
+  state_.limits = settings_.state_limits();
+  // Every record changes now and then; the log is no larger than what it holds
+  // calls for.
+  for (int round = 0; round < 6; ++round) {
+    for (auto& [id, block] : blocks_) change(block);
+    run(6);
+  }
+  for (auto& [id, block] : blocks_) EXPECT_EQ(stored_attempt(id), 7U) << id;
+  EXPECT_EQ(state_.rejected, 0U);
+  EXPECT_LT(state_.list("elm/l/log/", "", 1'000'000).listing.entries.size(), 40U);
+}
+
 }  // namespace
 }  // namespace elmstall::engine
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -76,6 +76,45 @@
   }
 }
 
+/// So that a block of an earlier version, whole and started, fits into one value
+/// of the smallest limit under which nothing has to be held back.
+TEST(Records, AFullBlockFitsIntoASmallerValueWithItsFrame) {
+  BlockEntry entry{"job-00000412", 99'999, {}};
+  const auto size = block_size(16);
+  entry.record.done.assign(size, false);
+  for (std::uint32_t i = 0; i < size; ++i)
+    entry.record.tasks.push_back({99'999 - i, 4'000'000'000, "host-000231"});
+  for (const double kb : {1.5, 2.0}) {
+    EXPECT_EQ(std::min(size, max_started_tasks(kb)), size) << kb;
+    const auto value = encode_slot(1'000'000, {pack(entry).bytes}, {});
+    EXPECT_LE(wire::json_size(wire::Document::parse(value).root()), value_bytes(kb)) << kb;
+  }
+  EXPECT_LT(max_started_tasks(1), size) << "below, tasks of a block wait for each other";
+  EXPECT_FALSE(startable_at_once(40, 1, 16));
+  EXPECT_TRUE(startable_at_once(40, 2, 16));
+}
+
+/// What a cancelled job needs no more goes, if its record is too large with it;
+/// an earlier version reads the rest.
+TEST(Records, ACancelledJobsRecordFitsUnderASmallerLimit) {
+  JobRecord record;
+  record.spec.id = "job-1";
+  record.spec.job_class = record.spec.team = "x";
+  record.spec.image = std::string(200, 'i');
+  record.spec.tasks = 9;
+  record.spec.types.assign(500, "m12");
+  const auto most = value_bytes(2);
+  ASSERT_GT(json_size(record), most);
+  const auto cancelled = cancelled_record(record, most);
+  EXPECT_TRUE(cancelled.cancelled);
+  EXPECT_LE(json_size(cancelled), most);
+  const auto read = decode_job(encode(cancelled));
+  EXPECT_EQ(read.spec.tasks, 9U);
+  EXPECT_TRUE(read.cancelled);
+  record.spec.types.resize(2);
+  EXPECT_EQ(cancelled_record(record, most).spec.types.size(), 2U);
+}
+
 TEST(Mirror, TheHighestNumberHoldsInWhateverOrderValuesCome) {
   const auto value = [](std::uint64_t number, std::uint64_t attempt) {
     return slot_value(number, {{"job-1", 0, {{false, false, false}, {{0, attempt, "host-1"}}}}});
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -5,6 +5,8 @@
 
 #include <fstream>
 
+#include "config/constants.hpp"
+
 namespace elmstall::config {
 namespace {
 
@@ -78,7 +80,7 @@
   EXPECT_EQ(settings.node, "n-0");
   ASSERT_EQ(settings.peers.size(), 1U);
   EXPECT_EQ(settings.peers[0].endpoint, "127.0.0.1:9081");
-  EXPECT_EQ(settings.txn_ops, 8);
+  EXPECT_EQ(settings.state.txn_ops, 8);
   EXPECT_DOUBLE_EQ(settings.team("a")->gpus_max, 8);
   EXPECT_EQ(settings.team("b"), nullptr);
   // 40 s to honour a cancellation, less a lease and the margins.
@@ -104,6 +106,43 @@
   expect_names("area = \"east\"", "area = ", ":2");
 }
 
+TEST_F(SettingsFile, KeepsToTheSmallerOfTheLimitsNowAndToCome) {
+  EXPECT_FALSE(load(kGood).state_next);
+  EXPECT_DOUBLE_EQ(load(kGood).state_limits().value_kb, 4);
+  const auto settings = load(
+      std::string(kGood) +
+      "[deployment.state.next]\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 20\nnovelty = 1\n");
+  ASSERT_TRUE(settings.state_next);
+  const auto limits = settings.state_limits();
+  EXPECT_DOUBLE_EQ(limits.rps, 120) << "left out: as it is";
+  EXPECT_DOUBLE_EQ(limits.write_rps, 18);
+  EXPECT_DOUBLE_EQ(limits.value_kb, 2);
+  EXPECT_EQ(limits.txn_ops, 8) << "a larger one to come holds nothing now";
+  EXPECT_DOUBLE_EQ(settings.state.value_kb, 4) << "the partition of the records stays";
+}
+
+TEST_F(SettingsFile, NamesWhatIsWrongInTheLimitsToCome) {
+  const auto complaint_about = [&](const std::string& line) {
+    return complaint("txn_ops = 8\n", "txn_ops = 8\n[deployment.state.next]\n" + line + "\n");
+  };
+  for (const std::string key : {"rps", "write_rps", "value_kb", "txn_ops"}) {
+    for (const std::string value : {"0", "-1.0", "\"many\"", "nan"}) {
+      const auto text = complaint_about(key + " = " + value);
+      EXPECT_NE(text.find("deployment.state.next." + key), std::string::npos) << value << text;
+    }
+  }
+  const auto no_table = complaint("txn_ops = 8\n", "txn_ops = 8\nnext = 3\n");
+  EXPECT_NE(no_table.find("deployment.state.next"), std::string::npos) << no_table;
+}
+
+TEST_F(SettingsFile, GangTimesMayBeAbsent) {
+  EXPECT_DOUBLE_EQ(load(kGood).gang_wait_s, constants::kGangWaitDefault);
+  EXPECT_DOUBLE_EQ(load(kGood).gang_peer_s, constants::kGangPeerDefault);
+  const auto text =
+      complaint("cancel_s = 40.0\n", "cancel_s = 40.0\ngang_wait_s = -1.0\ngang_peer_s = 8.0\n");
+  EXPECT_NE(text.find("deployment.workers.gang_wait_s"), std::string::npos) << text;
+}
+
 TEST_F(SettingsFile, SaysThatAFileIsMissing) {
   EXPECT_THROW((void)load_settings("/nonexistent/x.toml"), Invalid);
 }
--- a/tests/support/fake_state.cpp
+++ b/tests/support/fake_state.cpp
@@ -1,5 +1,7 @@
 #include "support/fake_state.hpp"
 
+#include <algorithm>
+
 namespace elmstall::test {
 
 using ledger::Outcome;
@@ -16,8 +18,35 @@
   log_.pop_front();
 }
 
+bool FakeState::too_large(const wire::Txn& txn) const {
+  if (!limits) return false;
+  const auto ops = static_cast<std::size_t>(limits->txn_ops);
+  if (txn.writes.size() > ops || txn.guards.size() > 4 * ops) return true;
+  return std::any_of(txn.writes.begin(), txn.writes.end(), [&](const wire::Write& write) {
+    if (!write.value) return false;
+    const auto size = wire::json_size(wire::Document::parse(*write.value).root());
+    return static_cast<double>(size) > limits->value_kb * 1024;
+  });
+}
+
+bool FakeState::too_fast(const wire::Txn& txn) {
+  if (!limits || !limits_rate) return false;
+  const double rate = limits->write_rps;
+  write_level_ = std::min(rate, write_level_ + (loop_.now() - write_level_at_) * rate);
+  write_level_at_ = loop_.now();
+  const auto changes = static_cast<double>(txn.writes.size());
+  if (changes > write_level_) return true;
+  write_level_ -= changes;
+  return false;
+}
+
 ledger::CommitResult FakeState::commit(const wire::Txn& txn) {
   expire();
+  if (too_large(txn)) {
+    ++rejected;
+    return {Outcome::rejected, revision_, {}};
+  }
+  if (too_fast(txn)) return {Outcome::unavailable, revision_, {}};
   ledger::CommitResult result;
   for (const auto& guard : txn.guards) {
     const auto found = items_.find(guard.key);
--- a/tests/support/fake_state.hpp
+++ b/tests/support/fake_state.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 
+#include "config/settings.hpp"
 #include "ledger/store.hpp"
 #include "support/virtual_time.hpp"
 
@@ -34,6 +35,12 @@
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   [[nodiscard]] const std::map<std::string, Item>& items() const { return items_; }
   bool down = false;
+  /// What is larger is called malformed.
+  std::optional<config::StateLimits> limits;
+  /// Beyond `limits` a second, with bursts of a second's worth, changes are refused.
+  bool limits_rate = false;
+  /// Transactions that were called malformed.
+  std::size_t rejected = 0;
   /// A transaction was applied; its answer is on its way.
   std::function<void(const wire::Txn&)> on_commit;
 
@@ -42,10 +49,14 @@
     double life = 0;
     double until = 0;
   };
+  [[nodiscard]] bool too_large(const wire::Txn& txn) const;
+  [[nodiscard]] bool too_fast(const wire::Txn& txn);
   void record(const std::string& key, std::optional<std::string> value);
 
   VirtualLoop& loop_;
   std::uint64_t revision_ = 1;
+  double write_level_ = 0;  ///< changes that may be made at once
+  double write_level_at_ = 0;
   std::uint64_t next_lease_ = 1;
   std::map<std::string, Item> items_;
   std::map<std::uint64_t, Lease> leases_;
--- a/tests/support/faults.cpp
+++ b/tests/support/faults.cpp
@@ -35,6 +35,24 @@
   return job;
 }
 
+wire::JobSpec random_gang(World& world, int number) {
+  auto job = random_job(world, number);
+  job.kind = wire::JobKind::gang;
+  job.job_class = "joint";
+  job.priority = wire::Priority::normal;
+  job.cpus = 1 + world.random() * 3;
+  job.gpus = world.random() < 0.3 ? 1 : 0;
+  job.memory_gb = 10;
+  job.tasks = 1 + static_cast<std::uint32_t>(world.pick(6));
+  job.expect_s = 5 + world.random() * 20;
+  job.together = world.random() < 0.6;
+  job.spread = !job.together && world.random() < 0.3;
+  job.zone.reset();
+  job.checkpoint_every_s = world.random() < 0.7 ? 5 : 0;
+  job.save_s = 1 + world.random() * 2;
+  return job;
+}
+
 namespace {
 
 void later(World& world, double delay, std::function<void()> fn) {
--- a/tests/support/faults.hpp
+++ b/tests/support/faults.hpp
@@ -7,6 +7,8 @@
 namespace elmstall::test {
 
 wire::JobSpec random_job(World& world, int number);
+/// Small tasks that must run at the same time.
+wire::JobSpec random_gang(World& world, int number);
 
 struct Fault {
   const char* name;
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -25,9 +25,7 @@
 
 void FakeWorker::die() {
   dead_ = true;
-  for (const auto& [name, task] : tasks_)
-    world_.rules.off_machine(world_.loop.now(), name.first, name.second, id_);
-  tasks_.clear();
+  forget_all();
 }
 
 void FakeWorker::next_report(double delay) {
@@ -78,13 +76,41 @@
 }
 
 void FakeWorker::forget_all() {
-  for (const auto& [name, task] : tasks_)
+  for (const auto& [name, task] : std::exchange(tasks_, {})) {
     world_.rules.off_machine(world_.loop.now(), name.first, name.second, id_);
-  tasks_.clear();
+    if (in_gang(name)) world_.gangs.leave(name.first, name.second, task.attempt);
+  }
+}
+
+bool FakeWorker::in_gang(const Name& name) const {
+  const auto* spec = world_.spec(name.first);
+  return spec != nullptr && spec->kind == wire::JobKind::gang;
+}
+
+void FakeWorker::show_gang_task(const TaskName& name, std::uint64_t serial, TaskState state) {
+  if (later([this, name, serial, state] { show_gang_task(name, serial, state); })) return;
+  const auto found = tasks_.find(name);
+  if (found == tasks_.end() || found->second.serial != serial ||
+      found->second.state != TaskState::gathering)
+    return;
+  found->second.state = state;
+  changed();
+}
+
+void FakeWorker::end_gang_task(const TaskName& name, std::uint64_t serial, EndCause cause,
+                               bool saved) {
+  if (later([this, name, serial, cause, saved] { end_gang_task(name, serial, cause, saved); }))
+    return;
+  const auto found = tasks_.find(name);
+  if (found == tasks_.end() || found->second.serial != serial ||
+      found->second.state == TaskState::ended)
+    return;
+  end(name, cause, saved);
 }
 
 wire::Report FakeWorker::compose() {
   wire::Report report{id_, id_, type_, zone_, spot_, session_, ++tick_, token_, std::nullopt, {}};
+  if (recall_at) report.recall_s = std::max(0.0, *recall_at - world_.loop.now());
   for (const auto& [name, task] : tasks_)
     report.tasks.push_back(
         {name.first, name.second, task.attempt, task.state, task.cause, task.saved});
@@ -184,17 +210,7 @@
       if (found == tasks_.end() || found->second.attempt != order.attempt ||
           found->second.state == TaskState::ended)
         return;
-      if (found->second.state == TaskState::running && order.wind_down_s > 0) {
-        found->second.state = TaskState::saving;
-        world_.loop.after(order.wind_down_s, [this, name, serial = found->second.serial] {
-          const auto task = tasks_.find(name);
-          if (!dead_ && task != tasks_.end() && task->second.serial == serial &&
-              task->second.state == TaskState::saving)
-            end(name, EndCause::stopped, true);
-        });
-        return changed();
-      }
-      return end(name, EndCause::stopped, false);
+      return stop(name, found->second, order.wind_down_s);
     case wire::Verb::clear:
       if (found == tasks_.end() || found->second.attempt != order.attempt ||
           found->second.state != TaskState::ended)
@@ -204,6 +220,27 @@
   }
 }
 
+void FakeWorker::stop(const Name& name, Task& task, double wind_down_s) {
+  if (wind_down_s <= 0) return end(name, EndCause::stopped, false);
+  if (task.state == TaskState::saving) return;
+  const auto& spec = *world_.spec(name.first);
+  if (task.state != TaskState::running) return end(name, EndCause::stopped, false);
+  if (in_gang(name)) {
+    if (wind_down_s < spec.save_s || !world_.gangs.stop(name.first, name.second, task.attempt))
+      return end(name, EndCause::stopped, false);
+    task.state = TaskState::saving;
+    return changed();
+  }
+  task.state = TaskState::saving;
+  world_.loop.after(wind_down_s, [this, name, serial = task.serial] {
+    const auto saving = tasks_.find(name);
+    if (!dead_ && saving != tasks_.end() && saving->second.serial == serial &&
+        saving->second.state == TaskState::saving)
+      end(name, EndCause::stopped, true);
+  });
+  changed();
+}
+
 void FakeWorker::run(const Name& name, std::uint64_t attempt) {
   auto& task = tasks_[name];
   task = {attempt, TaskState::fetching, EndCause::none, false, ++serial_};
@@ -231,11 +268,18 @@
   if (dead_ || found == tasks_.end() || found->second.serial != serial ||
       found->second.state != TaskState::fetching)
     return;
-  found->second.state = TaskState::running;
   world_.rules.on_machine(world_.loop.now(), name.first, name.second, {id_, type_, zone_, spot_});
-  changed();
   const auto* spec = world_.spec(name.first);
   const bool fails = world_.random() < fail_share;
+  if (in_gang(name)) {
+    found->second.state = TaskState::gathering;
+    if (world_.gangs.completed(name.first)) return end(name, EndCause::done, false);
+    if (fails) return end(name, EndCause::error, false);
+    changed();
+    return world_.gangs.join(name.first, name.second, found->second.attempt, {this, serial});
+  }
+  found->second.state = TaskState::running;
+  changed();
   if (spec->kind == wire::JobKind::service && !fails) return;
   const double takes = spec->expect_s * (0.6 + 0.8 * world_.random());
   world_.loop.after(takes, [this, name, serial, fails] { finish(name, serial, fails); });
@@ -261,6 +305,7 @@
   task.cause = cause;
   task.saved = saved;
   changed();
+  if (in_gang(name)) world_.gangs.leave(name.first, name.second, task.attempt);
 }
 
 void FakeWorkers::order(const std::string& addr, std::uint64_t token, std::uint64_t session,
@@ -414,10 +459,12 @@
   settings.report_s = 1.5;
   settings.lease_s = 10;
   settings.cancel_s = 40;
-  settings.state_rps = 120;
-  settings.state_write_rps = 25;
-  settings.state_value_kb = 1;  // small blocks, so that jobs have several
-  settings.txn_ops = 8;
+  settings.gang_wait_s = 30;
+  settings.gang_peer_s = 8;
+  settings.state.rps = 120;
+  settings.state.write_rps = 25;
+  settings.state.value_kb = 1;  // small blocks, so that jobs have several
+  settings.state.txn_ops = 8;
   settings.cloud_rps = 8;
   settings.list_lag_s = 3;
   settings.cores = 0.1;
@@ -428,9 +475,16 @@
 
 }  // namespace
 
-World::World(unsigned seed, std::size_t nodes)
-    : generator(seed), settings(make_settings()), rules(settings), state(loop), cloud(*this) {
+World::World(unsigned seed, std::size_t nodes, std::optional<config::StateLimits> next)
+    : generator(seed),
+      settings(make_settings()),
+      rules(settings),
+      gangs(*this),
+      state(loop),
+      cloud(*this) {
   machine_types = {{"m12", 12, 2, 96, 90, 0.5, 6, 2, 12, settings.zones}};
+  settings.state_next = next;
+  state.limits = settings.state;
   nodes_.resize(nodes);
   for (std::size_t i = 0; i < nodes; ++i) {
     auto& own = nodes_[i].settings = settings;
@@ -501,6 +555,11 @@
   state.down = down;
 }
 
+void World::lower_state_limits() {
+  state.limits = settings.state_limits();
+  state.limits_rate = true;
+}
+
 void World::take_back(std::size_t count) {
   for (auto& [id, worker] : workers) {
     if (count == 0) return;
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -8,6 +8,7 @@
 
 #include "engine/node.hpp"
 #include "support/fake_state.hpp"
+#include "support/gangs.hpp"
 #include "support/rules.hpp"
 
 namespace elmstall::test {
@@ -31,6 +32,10 @@
   /// Stands still with all its tasks, and goes on later.
   void hang(double seconds);
   [[nodiscard]] bool hung() const;
+  // What becomes of a gang's task here, decided for the whole gang.
+  using TaskName = std::pair<std::string, std::uint32_t>;
+  void show_gang_task(const TaskName& name, std::uint64_t serial, wire::TaskState state);
+  void end_gang_task(const TaskName& name, std::uint64_t serial, wire::EndCause cause, bool saved);
   /// It is up and has reported.
   [[nodiscard]] bool reports() const { return tick_ > 0; }
   /// What its tasks take that wait for their image.
@@ -53,12 +58,14 @@
     bool saved = false;
     std::uint64_t serial = 0;
   };
-  using Name = std::pair<std::string, std::uint32_t>;
+  using Name = TaskName;
 
   [[nodiscard]] wire::Report compose();
   void report();
   void answered(std::uint64_t tick, double sent, std::size_t node, const net::Response& response);
   void execute(const wire::Order& order);
+  void stop(const Name& name, Task& task, double wind_down_s);
+  [[nodiscard]] bool in_gang(const Name& name) const;
   void run(const Name& name, std::uint64_t attempt);
   void running(const Name& name, std::uint64_t serial);
   void finish(const Name& name, std::uint64_t serial, bool fails);
@@ -121,7 +128,9 @@
 
 class World {
  public:
-  explicit World(unsigned seed, std::size_t nodes = 3);
+  /// `next`: limits of the state service that are announced.
+  explicit World(unsigned seed, std::size_t nodes = 3,
+                 std::optional<config::StateLimits> next = std::nullopt);
   ~World();
 
   void run_until(double end) { loop.run_until(end); }
@@ -131,11 +140,17 @@
   /// Cuts a zone off from everything outside it, the state service too.
   void cut_zone(const std::string& zone, bool cut);
   void freeze(std::size_t node, double seconds) { nodes_[node].event_loop->freeze(seconds); }
+  /// How long the node's processes take workers to let a gang's task wait.
+  void set_gang_wait(std::size_t node, double seconds) {
+    nodes_[node].settings.gang_wait_s = seconds;
+  }
   /// The node's processes from now on have a steady clock that runs like this.
   void set_clock(std::size_t node, double rate) { clocks_[node] = rate; }
   void cut_mesh(std::size_t node, bool cut) { mesh_cut_[node] = cut; }
   void cut_workers(std::size_t node, bool cut) { worker_cut_[node] = cut; }
   void state_down(bool down);
+  /// From now on the announced limits hold.
+  void lower_state_limits();
   void take_back(std::size_t count);
 
   /// A job that somebody else submits.
@@ -177,6 +192,7 @@
   config::Settings settings;
   std::vector<wire::MachineType> machine_types;
   Rules rules;
+  FakeGangs gangs;
   FakeState state;
   FakeCloud cloud;
   std::map<std::string, std::unique_ptr<FakeWorker>> workers;
