--- /dev/null
+++ b/tests/production/adapter.cpp
@@ -0,0 +1,185 @@
+#include "production/adapter.hpp"
+
+#include "support/production_node.hpp"
+
+namespace elmstall::test {
+namespace {
+
+template <typename Outcome>
+int number_of(Outcome outcome) {
+  return static_cast<int>(outcome);
+}
+
+production::Settings settings_of(const config::Settings& given) {
+  production::Settings settings;
+  settings.node = given.node;
+  settings.zone = given.zone;
+  for (const auto& one : given.peers) settings.peers.push_back({one.name, one.zone});
+  settings.zones = given.zones;
+  for (const auto& one : given.teams)
+    settings.teams.push_back({one.name, one.cpus, one.cpus_max, one.gpus, one.gpus_max});
+  for (const auto& one : given.objectives)
+    settings.objectives.push_back({one.kind, one.job_class, one.within_s, one.share});
+  settings.report_s = given.report_s;
+  settings.lease_s = given.lease_s;
+  settings.cancel_s = given.cancel_s;
+  settings.state_rps = given.state.rps;
+  settings.state_write_rps = given.state.write_rps;
+  settings.state_value_kb = given.state.value_kb;
+  settings.txn_ops = given.state.txn_ops;
+  settings.cloud_rps = given.cloud_rps;
+  settings.list_lag_s = given.list_lag_s;
+  settings.cores = given.cores;
+  settings.memory_mb = given.memory_mb;
+  settings.fd_limit = given.fd_limit;
+  return settings;
+}
+
+void connect_time(production::Ports& to, VirtualEventLoop& loop) {
+  to.now = [&loop] { return loop.now(); };
+  to.wall = [&loop] { return loop.wall(); };
+  to.random = [&loop] { return loop.random(); };
+  to.after = [&loop](double seconds, std::function<void()> fn) {
+    loop.after(seconds, std::move(fn));
+  };
+}
+
+void connect_reads(production::Ports& to, ledger::Store& store) {
+  to.get = [&store](const std::string& key, production::GetDone done) {
+    store.get(key, [done = std::move(done)](const ledger::GetResult& result) {
+      const auto& entry = result.entry;
+      done(number_of(result.outcome), {entry.key, entry.value, entry.stamp}, result.revision);
+    });
+  };
+  to.list = [&store](const std::string& prefix, const std::string& since,
+                     production::ListDone done) {
+    store.list(prefix, since, [done = std::move(done)](const ledger::ListResult& result) {
+      std::vector<production::Entry> entries;
+      for (const auto& one : result.listing.entries)
+        entries.push_back({one.key, one.value, one.stamp});
+      done(number_of(result.outcome), std::move(entries), result.listing.truncated,
+           result.listing.revision);
+    });
+  };
+  to.watch = [&store](const std::string& prefix, std::uint64_t since, double hold_s,
+                      production::WatchDone done) {
+    store.watch(prefix, since, hold_s, [done = std::move(done)](const ledger::WatchResult& result) {
+      std::vector<production::Change> changes;
+      for (const auto& one : result.changes.log) changes.push_back({one.key, one.value, one.stamp});
+      done(number_of(result.outcome), result.changes.revision, std::move(changes));
+    });
+  };
+}
+
+void connect_writes(production::Ports& to, ledger::Store& store) {
+  to.commit = [&store](const std::vector<production::Guard>& guards,
+                       const std::vector<production::Write>& writes, production::CommitDone done) {
+    wire::Txn txn;
+    for (const auto& one : guards) txn.guards.push_back({one.key, one.stamp});
+    for (const auto& one : writes) txn.writes.push_back({one.key, one.value, one.lease});
+    store.commit(std::move(txn), [done = std::move(done)](const ledger::CommitResult& result) {
+      done(number_of(result.outcome), result.revision, result.failed);
+    });
+  };
+  to.grant = [&store](double life_s, production::GrantDone done) {
+    store.grant(life_s, [done = std::move(done)](const ledger::GrantResult& result) {
+      done(number_of(result.outcome), result.lease);
+    });
+  };
+  to.renew = [&store](std::uint64_t lease, production::RenewDone done) {
+    store.renew(lease,
+                [done = std::move(done)](ledger::Outcome outcome) { done(number_of(outcome)); });
+  };
+}
+
+void connect_cloud(production::Ports& to, fleet::Cloud& cloud) {
+  to.machine_types = [&cloud](production::TypesDone done) {
+    cloud.machine_types(
+        [done = std::move(done)](const std::optional<std::vector<wire::MachineType>>& types) {
+          done(types ? std::optional(wire::encode_machine_types(*types)) : std::nullopt);
+        });
+  };
+  to.cloud_list = [&cloud](const std::string& since, production::CloudListDone done) {
+    cloud.list(since, [done = std::move(done)](const std::optional<wire::CloudPage>& page) {
+      if (!page) return done(std::nullopt);
+      std::vector<production::CloudHost> hosts;
+      for (const auto& one : page->hosts)
+        hosts.push_back(
+            {one.id, one.addr, one.type, one.zone, one.spot, number_of(one.state), one.age_s});
+      done(std::move(hosts));
+    });
+  };
+  to.rent = [&cloud](const std::string& name, const std::string& type, const std::string& zone,
+                     bool spot, int count, production::RentDone done) {
+    cloud.rent(name, type, zone, spot, count,
+               [done = std::move(done)](const fleet::RentResult& result) {
+                 done(number_of(result.outcome), result.hosts);
+               });
+  };
+  to.release = [&cloud](const std::vector<std::string>& hosts, std::function<void(bool)> done) {
+    cloud.release(hosts, std::move(done));
+  };
+}
+
+void connect_workers(production::Ports& to, fleet::Workers& workers) {
+  to.order = [&workers](const std::string& addr, std::uint64_t token, std::uint64_t session,
+                        const std::string& orders, production::OrderDone done) {
+    const auto decoded = wire::decode_orders(wire::Document::parse(orders).root());
+    workers.order(
+        addr, token, session, decoded.orders,
+        [done = std::move(done)](const fleet::OrdersResult& result) {
+          done(number_of(result.outcome),
+               result.report ? std::optional(wire::encode_report(*result.report)) : std::nullopt);
+        });
+  };
+}
+
+void connect_mesh(production::Ports& to, mesh::Mesh& mesh) {
+  // Through this version's reader, which must read all that the other sends.
+  to.send = [&mesh](const std::string& node, const std::string& bytes) {
+    const auto message = mesh::decode(bytes);
+    if (node.empty()) {
+      mesh.broadcast(message);
+    } else {
+      mesh.send(node, message);
+    }
+  };
+  to.flush = [&mesh] { mesh.flush(); };
+}
+
+class ProductionNode : public OtherNode {
+ public:
+  explicit ProductionNode(const OtherNodePorts& ports)
+      : node_(settings_of(ports.settings), connect(ports), ports.incarnation) {}
+
+  void on_request(net::Request request, net::Responder respond) override {
+    node_.on_request(request.method, request.path, request.body,
+                     [respond = std::move(respond)](int status, std::string body, int retry) {
+                       respond({status, std::move(body), retry});
+                     });
+  }
+  void on_message(const std::string& bytes) override { node_.on_message(bytes); }
+  [[nodiscard]] bool leads() const override { return node_.leads(); }
+
+ private:
+  static production::Ports connect(const OtherNodePorts& ports) {
+    production::Ports to;
+    connect_time(to, ports.event_loop);
+    connect_reads(to, ports.store);
+    connect_writes(to, ports.store);
+    connect_cloud(to, ports.cloud);
+    connect_workers(to, ports.workers);
+    connect_mesh(to, ports.mesh);
+    return to;
+  }
+
+  production::Node node_;
+};
+
+}  // namespace
+
+std::unique_ptr<OtherNode> make_production_node(const OtherNodePorts& ports) {
+  return std::make_unique<ProductionNode>(ports);
+}
+
+}  // namespace elmstall::test
--- /dev/null
+++ b/tests/production/upgrade_test.cpp
@@ -0,0 +1,136 @@
+// The version in production beside this one: both serve, in any order of
+// restarts and leaders, on each other's records and messages.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "production/adapter.hpp"
+#include "support/faults.hpp"
+#include "support/scenarios.hpp"
+
+namespace elmstall::test {
+namespace {
+
+constexpr config::StateLimits kNext{120, 18, 0.8, 4};
+
+unsigned last_seed() {
+  const char* wanted = std::getenv("ELMSTALL_CHAOS_SEEDS");
+  return wanted == nullptr ? 30 : static_cast<unsigned>(std::max(1, std::atoi(wanted)));
+}
+
+class Upgrade : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(Upgrade, TheRulesHoldWithFaultsInItsMiddle) {
+  const auto seed = GetParam();
+  World world(95'000 + seed, 3 + seed % 3, kNext, make_production_node);
+  world.loss = 0.01;
+  world.cloud.capacity = 40;
+  const auto& faults = concurrent_faults();
+  std::string story;
+  int jobs = 0;
+  std::size_t next_node = 0;
+  double next_upgrade = 40;
+  double falls_at = 1e9;
+  double next_fault = 35;
+  std::size_t other_led = 0;
+  std::size_t this_led_beside_other = 0;
+  for (double t = 0; t < 230; t += 1) {
+    world.run_until(t);
+    const bool all_new = next_node >= world.node_count();
+    if (t < 180 && world.random() < 0.2) {
+      // Nothing new is asked of the service before all have this version.
+      const bool gang = all_new && world.random() < 0.5;
+      ++jobs;
+      auto job = gang ? random_gang(world, jobs) : random_job(world, jobs);
+      if (!gang && job.kind == wire::JobKind::gang) job.kind = wire::JobKind::array;
+      world.submit(job);
+    }
+    if (jobs > 0 && world.random() < 0.04)
+      world.cancel("job-" + std::to_string(1 + world.pick(static_cast<std::size_t>(jobs))));
+    if (jobs > 0)
+      world.poll("job-" + std::to_string(1 + world.pick(static_cast<std::size_t>(jobs))));
+    if (world.other_leads()) ++other_led;
+    if (!all_new && next_node > 0 && world.leader() != nullptr) ++this_led_beside_other;
+    if (!all_new && t >= next_upgrade) {
+      world.upgrade(next_node);
+      world.crash(next_node++, 0.2 + world.random() * 8);
+      next_upgrade = t + 4 + world.random() * 20;
+      if (next_node == world.node_count()) falls_at = t + 15 + world.random() * 30;
+    }
+    if (t >= falls_at) {
+      falls_at = 1e9;
+      world.lower_state_limits();
+      story += " | limits at " + std::to_string(static_cast<int>(t));
+    }
+    if (t >= next_fault && t < 175) {
+      const auto& fault = faults[world.pick(faults.size())];
+      story += " | " + std::to_string(static_cast<int>(t)) + " s: " + fault.name;
+      fault.begin(world, world.pick(3), 2 + world.random() * 20);
+      next_fault = t + 8 + world.random() * 25;
+    }
+    ASSERT_TRUE(world.rules.broken().empty())
+        << "at " << t << " s: " << world.rules.broken().front() << story;
+  }
+  world.run_until(255);
+  world.loss = 0;
+  for (double t = 255; t < 330; t += 1) {
+    world.run_until(t);
+    for (int job = 1; job <= jobs; ++job) {
+      if (job % 5 == static_cast<int>(t) % 5) world.poll("job-" + std::to_string(job));
+    }
+    ASSERT_TRUE(world.rules.broken().empty())
+        << "at " << t << " s: " << world.rules.broken().front() << story;
+  }
+  for (const auto& id : world.rules.accepted_jobs())
+    EXPECT_GT(world.answered_at(id), 255) << id << " is not answered for" << story;
+  EXPECT_GT(other_led, 0U);
+  EXPECT_GT(this_led_beside_other + other_led, 20U) << "nobody led" << story;
+  EXPECT_EQ(world.state.rejected, 0U) << story;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Upgrade, ::testing::Range(1U, last_seed() + 1));
+
+/// Tasks go on across each change of version, in both directions.
+TEST(UpgradeStep, ANewLeaderKeepsWhatTheOldOneStartedAndTheOtherWayRound) {
+  World world(951, 3, std::nullopt, make_production_node);
+  world.submit(array(1, 4, 400));
+  world.submit(service(2, 4));
+  world.run_until(60);
+  ASSERT_TRUE(world.other_leads());
+  const auto starts = world.rules.starts();
+  ASSERT_EQ(world.rules.present("job-1") + world.rules.present("job-2"), 8U);
+  world.upgrade(0);
+  world.crash(0, 3);
+  world.run_until(75);
+  // The old ones end in turn until the new one leads.
+  for (std::size_t turn = 0; turn < 8 && world.leader() == nullptr; ++turn) {
+    world.crash(1 + turn % 2, 5);
+    world.run_until(world.loop.now() + 15);
+  }
+  ASSERT_NE(world.leader(), nullptr);
+  EXPECT_FALSE(world.other_leads());
+  // And back: one of the old ones is next.
+  world.crash(0, 5);
+  world.run_until(world.loop.now() + 20);
+  EXPECT_TRUE(world.other_leads());
+  EXPECT_EQ(world.rules.starts(), starts) << "nothing was lost or started again";
+  EXPECT_EQ(world.rules.present("job-1") + world.rules.present("job-2"), 8U);
+  expect_rules(world);
+}
+
+TEST(UpgradeStep, ACancellationThroughEitherVersionEndsTheJob) {
+  World world(952, 3, kNext, make_production_node);
+  for (int i = 1; i <= 3; ++i) world.submit(array(i, 2, 400));
+  world.run_until(50);
+  world.upgrade(1);
+  world.crash(1, 2);
+  world.run_until(60);
+  for (std::size_t node = 0; node < 3; ++node)
+    EXPECT_TRUE(world.cancel_at(node, "job-" + std::to_string(node + 1), 1.5)) << node;
+  world.run_until(80);
+  for (int i = 1; i <= 3; ++i) EXPECT_EQ(world.rules.present("job-" + std::to_string(i)), 0U);
+  expect_rules(world);
+}
+
+}  // namespace
+}  // namespace elmstall::test
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -441,7 +441,7 @@
     if (!world.reachable(to, world.nodes_[self].settings.zone)) return;
     // Through the real encoding.
     world.loop.after(0.002, [this, to, bytes = mesh::encode(message), &owner = world] {
-      if (owner.nodes_[to].node) owner.nodes_[to].node->on_message(mesh::decode(bytes));
+      if (owner.nodes_[to].alive()) owner.nodes_[to].message(bytes);
     });
   }
   World& world;
@@ -475,18 +475,21 @@
 
 }  // namespace
 
-World::World(unsigned seed, std::size_t nodes, std::optional<config::StateLimits> next)
+World::World(unsigned seed, std::size_t nodes, std::optional<config::StateLimits> next,
+             OtherNodeFactory other)
     : generator(seed),
       settings(make_settings()),
       rules(settings),
       gangs(*this),
       state(loop),
-      cloud(*this) {
+      cloud(*this),
+      other_(std::move(other)) {
   machine_types = {{"m12", 12, 2, 96, 90, 0.5, 6, 2, 12, settings.zones}};
   settings.state_next = next;
   state.limits = settings.state;
   nodes_.resize(nodes);
   for (std::size_t i = 0; i < nodes; ++i) {
+    nodes_[i].upgraded = !other_;
     auto& own = nodes_[i].settings = settings;
     own.node = "node-" + std::to_string(i);
     own.zone = settings.zones[i % 2];
@@ -499,7 +502,10 @@
 }
 
 World::~World() {
-  for (auto& process : nodes_) process.node.reset();
+  for (auto& process : nodes_) {
+    process.node.reset();
+    process.other.reset();
+  }
 }
 
 void World::boot(std::size_t index) {
@@ -513,18 +519,25 @@
   process.store->road = road;
   if (!process.workers) process.workers = std::make_unique<FakeWorkers>(*this, index);
   process.mesh = std::make_unique<Mesh>(*this, index);
+  auto incarnation = process.settings.node + "." + std::to_string(++process.incarnation);
+  if (!process.upgraded) {
+    process.other = other_({process.settings, *process.event_loop, *process.store, cloud,
+                            *process.workers, *process.mesh, std::move(incarnation)});
+    return;
+  }
   process.node = std::make_unique<engine::Node>(
       process.settings,
       engine::Node::Ports{*process.event_loop, *process.store, cloud, *process.workers},
-      process.settings.node + "." + std::to_string(++process.incarnation));
+      std::move(incarnation));
   process.node->start(*process.mesh);
 }
 
 void World::crash(std::size_t node, double back_after) {
   auto& process = nodes_[node];
-  if (!process.node) return;
+  if (!process.alive()) return;
   process.store->cut();
   process.node.reset();
+  process.other.reset();
   // The objects stay until the restart: what is under way may still be
   // carried out on the other side.
   process.event_loop = std::make_unique<VirtualEventLoop>(loop, 1);
@@ -572,8 +585,8 @@
 
 void World::send_to_node(std::size_t node, net::Request request, net::Responder respond) {
   if (carry) return carry(node, std::move(request), std::move(respond));
-  if (!nodes_[node].node || worker_cut_[node]) return;
-  nodes_[node].node->on_request(std::move(request), std::move(respond));
+  if (!nodes_[node].alive() || worker_cut_[node]) return;
+  nodes_[node].request(std::move(request), std::move(respond));
 }
 
 std::optional<net::Response> World::answer_of(std::size_t node, net::Request request,
@@ -600,6 +613,12 @@
   return nullptr;
 }
 
+bool World::other_leads() const {
+  return std::any_of(nodes_.begin(), nodes_.end(), [](const Process& process) {
+    return process.other && process.other->leads();
+  });
+}
+
 void World::ask(std::size_t node, const std::string& method, const std::string& path,
                 std::string body, double limit,
                 std::function<void(std::optional<net::Response>)> done) {
@@ -608,14 +627,13 @@
     if (std::exchange(*open, false)) done(std::move(response));
   };
   loop.after(limit, [finish] { finish(std::nullopt); });
-  if (!nodes_[node].node || zones_cut_.contains(nodes_[node].settings.zone)) return;
+  if (!nodes_[node].alive() || zones_cut_.contains(nodes_[node].settings.zone)) return;
   loop.after(0.002, [=, this, body = std::move(body)] {
-    if (!nodes_[node].node) return;
-    nodes_[node].node->on_request({method, path, body},
-                                  [this, finish](const net::Response& response) {
-                                    if (random() < loss) return;
-                                    loop.after(0.002, [finish, response] { finish(response); });
-                                  });
+    if (!nodes_[node].alive()) return;
+    nodes_[node].request({method, path, body}, [this, finish](const net::Response& response) {
+      if (random() < loss) return;
+      loop.after(0.002, [finish, response] { finish(response); });
+    });
   });
 }
 
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -126,15 +126,41 @@
   std::map<double, wire::CloudPage> history_;
 };
 
+/// A controller of another version in the place of one of this.
+class OtherNode {
+ public:
+  virtual ~OtherNode() = default;
+  virtual void on_request(net::Request request, net::Responder respond) = 0;
+  virtual void on_message(const std::string& bytes) = 0;
+  [[nodiscard]] virtual bool leads() const = 0;
+};
+struct OtherNodePorts {
+  const config::Settings& settings;
+  VirtualEventLoop& event_loop;
+  ledger::Store& store;
+  fleet::Cloud& cloud;
+  fleet::Workers& workers;
+  mesh::Mesh& mesh;
+  std::string incarnation;
+};
+using OtherNodeFactory = std::function<std::unique_ptr<OtherNode>(const OtherNodePorts&)>;
+
 class World {
  public:
-  /// `next`: limits of the state service that are announced.
+  /// `next`: limits of the state service that are announced. `other`: makes the
+  /// controllers that run until they are upgraded.
   explicit World(unsigned seed, std::size_t nodes = 3,
-                 std::optional<config::StateLimits> next = std::nullopt);
+                 std::optional<config::StateLimits> next = std::nullopt,
+                 OtherNodeFactory other = {});
   ~World();
 
   void run_until(double end) { loop.run_until(end); }
   void crash(std::size_t node, double back_after);
+  /// Its next process, and all after that, are of this version.
+  void upgrade(std::size_t node) { nodes_[node].upgraded = true; }
+  [[nodiscard]] bool upgraded(std::size_t node) const { return nodes_[node].upgraded; }
+  /// A controller of the other version leads.
+  [[nodiscard]] bool other_leads() const;
   /// Cuts what crosses between two zones; messages are lost.
   void part_zones(bool apart) { zones_apart_ = apart; }
   /// Cuts a zone off from everything outside it, the state service too.
@@ -221,7 +247,18 @@
     std::unique_ptr<FakeWorkers> workers;
     std::unique_ptr<Mesh> mesh;
     std::unique_ptr<engine::Node> node;
+    std::unique_ptr<OtherNode> other;  ///< instead of `node`
+    bool upgraded = true;
     std::uint64_t incarnation = 0;
+    [[nodiscard]] bool alive() const { return node || other; }
+    void request(net::Request request, net::Responder respond) {
+      if (other) return other->on_request(std::move(request), std::move(respond));
+      node->on_request(std::move(request), std::move(respond));
+    }
+    void message(const std::string& bytes) {
+      if (other) return other->on_message(bytes);
+      node->on_message(mesh::decode(bytes));
+    }
   };
   void boot(std::size_t index);
   void ask(std::size_t node, const std::string& method, const std::string& path, std::string body,
@@ -230,6 +267,7 @@
   void repeat_cancel(const std::string& id, double until);
   void watch_time();
 
+  OtherNodeFactory other_;
   std::vector<Process> nodes_;
   /// Ways of dead processes: what they sent is still under way.
   std::vector<std::unique_ptr<FakeStore>> old_stores_;
