Gangs: the fetch that all wait for goes where the network is free; a crash while claiming

Change: machines that fetch nothing else and have no slot for other work go first, then fewer machines.

--- a/src/engine/gang_coordinator.cpp
+++ b/src/engine/gang_coordinator.cpp
@@ -23,7 +23,7 @@
   if (gang.state == state) return;
   if (!may_follow(gang.state, state))
     spdlog::error("gang {}: {} does not follow {}", job.id, to_text(state), to_text(gang.state));
-  spdlog::debug("gang {}: {}, was {}", job.id, to_text(state), to_text(gang.state));
+  spdlog::info("gang {}: {}, was {}", job.id, to_text(state), to_text(gang.state));
   gang.state = state;
   gang.since = now;
 }
@@ -242,11 +242,20 @@
   site.free_slots = sched::slots_in(room, job.need);
   site.avoid = job.gang_progress.avoided.contains(host.id);
   site.cached = host.caches(job.image);
-  // What arrays and services could use, others should not take; and whole
-  // machines are best left whole.
-  constexpr std::size_t most = 1000;
-  site.waste = static_cast<double>(std::min(most, sched::slots_in(room, model_.least_need()))) + 1 -
-               host.used.share_of(host.capacity);
+  site.fetching = std::any_of(host.tasks.begin(), host.tasks.end(), [&](const Task* task) {
+    return task->phase == Phase::assigned && task->state == TaskState::fetching &&
+           task->job->image != job.image;
+  });
+  // What arrays and services could use is left to them, and whole machines are
+  // best left whole.
+  const auto taken = std::min<std::size_t>(site.free_slots, job.spec.tasks);
+  const auto left = room - job.need * static_cast<double>(taken);
+  const auto slots = [&](const sched::Amount& amount) {
+    constexpr std::size_t most = 1000;
+    return static_cast<double>(std::min(most, sched::slots_in(amount, model_.least_need())));
+  };
+  site.inviting = slots(left) > 0;
+  site.waste = slots(room) - slots(left) + (host.tasks.empty() ? 0.5 : 0);
   return site;
 }
 
@@ -415,8 +424,10 @@
   const bool reserving = reserving_ == job.serial;
   const double most = reserving ? k::kGangReserveMax : k::kGangClaimMax;
   const auto tasks = tasks_of(job);
+  // A machine that is given up takes the places on it along.
   const bool lost = std::any_of(tasks.begin(), tasks.end(), [&](const Task* task) {
-    return task->phase == Phase::planned && !Planner::usable(*task->host, now, settings_);
+    return task->phase == Phase::planned ? !Planner::usable(*task->host, now, settings_)
+                                         : !reserving;
   });
   if (lost || now > job.gang_progress.since + most) return give_up_claim(job, now);
   if (reserving) return widen_reservation(job, tasks, roomy, now);
--- a/src/sched/gang_placement.cpp
+++ b/src/sched/gang_placement.cpp
@@ -11,11 +11,13 @@
 struct Cost {
   std::size_t displacing = 0;
   std::size_t avoided = 0;
-  std::size_t fetching = 0;
+  std::size_t slow_fetches = 0;
+  std::size_t fetches = 0;
   double waste = 0;
   [[nodiscard]] bool before(const Cost& other) const {
-    return std::tie(displacing, avoided, fetching, waste) <
-           std::tie(other.displacing, other.avoided, other.fetching, other.waste);
+    return std::tie(displacing, avoided, slow_fetches, fetches, waste) <
+           std::tie(other.displacing, other.avoided, other.slow_fetches, other.fetches,
+                    other.waste);
   }
 };
 
@@ -24,6 +26,13 @@
   Cost cost;
 };
 
+/// How long a fetch of the image is likely to take there, in order.
+int fetch_rank(const GangSite& site) {
+  if (site.cached) return 0;
+  if (site.fetching) return 3;
+  return site.inviting ? 2 : 1;
+}
+
 /// Positions of the sites in the order in which they are filled.
 std::vector<std::size_t> filling_order(const std::vector<GangSite>& sites) {
   std::vector<std::size_t> order(sites.size());
@@ -31,7 +40,9 @@
   std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
     const auto& x = sites[a];
     const auto& y = sites[b];
-    return std::tuple(x.avoid, !x.cached, x.waste) < std::tuple(y.avoid, !y.cached, y.waste);
+    // Fewer machines are fewer fetches to wait for, now and for the next gang.
+    return std::tuple(x.avoid, fetch_rank(x), x.waste, y.free_slots) <
+           std::tuple(y.avoid, fetch_rank(y), y.waste, x.free_slots);
   });
   return order;
 }
@@ -61,7 +72,8 @@
       result.shares.push_back(share);
       result.cost.displacing += share.displacing;
       result.cost.avoided += site.avoid ? 1 : 0;
-      result.cost.fetching += site.cached ? 0 : 1;
+      result.cost.slow_fetches += fetch_rank(site) > 1 ? 1 : 0;
+      result.cost.fetches += site.cached ? 0 : 1;
       result.cost.waste += site.waste * static_cast<double>(share.tasks);
     }
     return result;
--- a/src/sched/gang_placement.hpp
+++ b/src/sched/gang_placement.hpp
@@ -16,7 +16,9 @@
   std::size_t extra_slots = 0;  ///< and that lesser work could make room for
   bool avoid = false;           ///< an earlier attempt got nowhere there
   bool cached = false;          ///< has the image, or is fetching it
-  double waste = 0;             ///< how much better others could use the room
+  bool fetching = false;        ///< fetches another one, which would share its network
+  bool inviting = false;        ///< other work may start there soon, and fetch as well
+  double waste = 0;             ///< what others lose if the gang takes it
   double extra_cost = 0;        ///< seconds of work lost by making room
 };
 
@@ -36,8 +38,8 @@
 };
 
 /// A place for every task, or nothing. Room that is free goes before room that
-/// has to be made; then machines with the image, then those that others have
-/// the least use for.
+/// has to be made; then machines with the image, those whose network is free to
+/// fetch it, and those that others have the least use for.
 [[nodiscard]] std::optional<std::vector<GangShare>> place_gang(const std::vector<GangSite>& sites,
                                                                const GangRequest& request,
                                                                bool displace);
--- a/tests/falling_limits_test.cpp
+++ b/tests/falling_limits_test.cpp
@@ -80,6 +80,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FallingLimits, ::testing::Range(1U, last_seed() + 1));
+/// Failures of longer searches. 374: a machine was given up while places on it
+/// were kept for a gang, and the process ended.
+INSTANTIATE_TEST_SUITE_P(Found, FallingLimits, ::testing::Values(374U));
 
 /// Accepted under the larger limit, as an earlier version would have: its record
 /// can't be written again as it is.
--- a/tests/gang_placement_test.cpp
+++ b/tests/gang_placement_test.cpp
@@ -45,6 +45,8 @@
                   pick(2),
                   pick(4) == 0,
                   pick(1) == 0,
+                  pick(1) == 0,
+                  pick(1) == 0,
                   static_cast<double>(pick(3)),
                   static_cast<double>(pick(9))};
     }
@@ -76,9 +78,9 @@
 
 TEST(GangPlacementOrder, TheImageThenRoomThatOthersCantUse) {
   std::vector<GangSite> sites(3);
-  sites[0] = {0, "north", 2, 0, false, false, 0, 0};
-  sites[1] = {1, "north", 2, 0, false, true, 3, 0};
-  sites[2] = {2, "north", 2, 0, false, true, 0, 0};
+  sites[0] = {0, "north", 2, 0, false, false, false, false, 0, 0};
+  sites[1] = {1, "north", 2, 0, false, true, false, false, 3, 0};
+  sites[2] = {2, "north", 2, 0, false, true, true, false, 0, 0};
   const auto shares = place_gang(sites, {3, true, 0}, false);
   ASSERT_TRUE(shares);
   ASSERT_EQ(shares->size(), 2U);
@@ -88,10 +90,30 @@
   EXPECT_EQ((*shares)[1].tasks, 2U);
 }
 
+/// A fetch beside another one takes twice as long, and the whole gang waits for it.
+TEST(GangPlacementOrder, AFreeNetworkThenRoomThatOthersCantUse) {
+  std::vector<GangSite> sites(2);
+  sites[0] = {0, "north", 2, 0, false, false, true, false, 0, 0};
+  sites[1] = {1, "north", 2, 0, false, false, false, false, 3, 0};
+  const auto shares = place_gang(sites, {2, true, 0}, false);
+  ASSERT_TRUE(shares);
+  ASSERT_EQ(shares->size(), 1U);
+  EXPECT_EQ(shares->front().site, 1U);
+}
+
+TEST(GangPlacementOrder, AMachineWhereNothingElseStartsSoon) {
+  std::vector<GangSite> sites(2);
+  sites[0] = {0, "north", 2, 0, false, false, false, true, 0, 0};
+  sites[1] = {1, "north", 2, 0, false, false, false, false, 0, 0};
+  const auto shares = place_gang(sites, {2, true, 0}, false);
+  ASSERT_TRUE(shares);
+  EXPECT_EQ(shares->front().site, 1U);
+}
+
 TEST(GangPlacementOrder, AZoneWithRoomGoesBeforeOneWhereOthersMustStop) {
   std::vector<GangSite> sites(2);
-  sites[0] = {0, "north", 1, 5, false, true, 0, 1};
-  sites[1] = {1, "south", 2, 0, false, false, 9, 0};
+  sites[0] = {0, "north", 1, 5, false, true, false, false, 0, 1};
+  sites[1] = {1, "south", 2, 0, false, false, false, false, 9, 0};
   const auto shares = place_gang(sites, {2, true, 0}, true);
   ASSERT_TRUE(shares);
   ASSERT_EQ(shares->size(), 1U);
--- a/tests/production/upgrade_test.cpp
+++ b/tests/production/upgrade_test.cpp
@@ -89,6 +89,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Upgrade, ::testing::Range(1U, last_seed() + 1));
+/// The same failure as 374 of FallingLimits.
+INSTANTIATE_TEST_SUITE_P(Found, Upgrade, ::testing::Values(117U));
 
 /// Tasks go on across each change of version, in both directions.
 TEST(UpgradeStep, ANewLeaderKeepsWhatTheOldOneStartedAndTheOtherWayRound) {
