--- /dev/null
+++ b/tests/fleet_size_test.cpp
@@ -0,0 +1,76 @@
+// A fleet of 4,000 machines: nothing is bounded below that size.
+#include <gtest/gtest.h>
+
+#include "support/scenarios.hpp"
+
+namespace elmstall::test {
+namespace {
+
+constexpr std::size_t kMachines = 4000;
+
+/// Two tasks fill a machine of the test world.
+wire::JobSpec filling(int number, std::uint32_t tasks) {
+  auto job = array(number, tasks, 500);
+  job.expect_s = 5000;
+  return job;
+}
+
+std::size_t alive(const World& world) {
+  return static_cast<std::size_t>(
+      std::count_if(world.workers.begin(), world.workers.end(),
+                    [](const auto& entry) { return !entry.second->dead(); }));
+}
+
+std::size_t running(const World& world, int jobs) {
+  std::size_t count = 0;
+  for (int job = 1; job <= jobs; ++job) count += world.rules.present("job-" + std::to_string(job));
+  return count;
+}
+
+/// As many machines as there may be, all at work.
+class LargeFleet : public ::testing::Test {
+ protected:
+  static constexpr int kJobs = 40;
+  static constexpr std::size_t kTasks = 2 * kMachines;
+
+  LargeFleet() : world_(2000, 3) {
+    world_.cloud.capacity = kMachines;
+    world_.use_large_site();
+    for (int job = 1; job <= kJobs; ++job) world_.submit(filling(job, kTasks / kJobs));
+    world_.run_until(150);
+  }
+
+  World world_;
+};
+
+TEST_F(LargeFleet, WorksWholeAcrossATakeoverAndTheLossOfAThird) {
+  ASSERT_EQ(alive(world_), kMachines);
+  ASSERT_EQ(running(world_, kJobs), kTasks);
+  const auto starts = world_.rules.starts();
+  // The leader ends: nothing is lost, and every machine is known to the next.
+  world_.crash(leader_index(world_), 5);
+  world_.run_until(world_.loop.now() + 40);
+  auto& model = world_.leader()->leader()->model();
+  std::size_t synchronized = 0;
+  for (const auto& [id, host] : model.hosts()) synchronized += host->synchronized ? 1 : 0;
+  EXPECT_EQ(synchronized, kMachines);
+  EXPECT_EQ(world_.rules.starts(), starts);
+  // All controllers end, and the whole fleet reports at once.
+  for (std::size_t i = 0; i < 3; ++i) world_.crash(i, 1);
+  world_.run_until(world_.loop.now() + 45);
+  EXPECT_EQ(running(world_, kJobs), kTasks);
+  EXPECT_EQ(world_.rules.starts(), starts);
+  // A third of the machines is gone in one moment.
+  std::size_t died = 0;
+  for (auto& [id, worker] : world_.workers) {
+    if (++died % 3 != 0) continue;
+    worker->die();
+    ++world_.cloud.capacity;
+  }
+  world_.run_until(world_.loop.now() + 220);
+  EXPECT_EQ(running(world_, kJobs), kTasks) << "all found another place";
+  expect_rules(world_);
+}
+
+}  // namespace
+}  // namespace elmstall::test
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -568,6 +568,19 @@
   state.down = down;
 }
 
+void World::use_large_site() {
+  const auto change = [](config::Settings& own) {
+    own.report_s = 10;
+    own.lease_s = 45;
+    own.cancel_s = 75;
+    own.state.value_kb = 16;
+    own.state.txn_ops = 20;
+  };
+  change(settings);
+  for (auto& process : nodes_) change(process.settings);
+  state.limits = settings.state;
+}
+
 void World::lower_state_limits() {
   state.limits = settings.state_limits();
   state.limits_rate = true;
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -170,6 +170,9 @@
   void set_gang_wait(std::size_t node, double seconds) {
     nodes_[node].settings.gang_wait_s = seconds;
   }
+  /// For a large fleet: rare reports, long leases, a state service with more room.
+  /// To be called before anything runs.
+  void use_large_site();
   /// The node's processes from now on have a steady clock that runs like this.
   void set_clock(std::size_t node, double rate) { clocks_[node] = rate; }
   void cut_mesh(std::size_t node, bool cut) { mesh_cut_[node] = cut; }
