--- a/src/engine/leader.cpp
+++ b/src/engine/leader.cpp
@@ -39,6 +39,7 @@
                      }}),
       model_(context.settings, group_commit_),
       gangs_(context.settings, model_, estimates_),
+      orders_(context.settings, model_, group_commit_, gangs_),
       planner_(context.settings, model_, estimates_, gangs_),
       fleet_(context.settings, context.event_loop, context.queue, context.cloud, model_, estimates_,
              term, [this](Host& host) { release_host_tasks(host, "deleted or failed"); }),
@@ -221,7 +222,7 @@
         report.session == host.session && now - host.exchanged_at < k::kReportReplyLimit;
     if (!crossed) return respond({503, {}, 0});
     host.last_answer = now;
-    return respond({200, wire::encode_orders(token(host), cancelled_orders(host)), 0});
+    return respond({200, wire::encode_orders(token(host), OrderComposer::cancellations(host)), 0});
   }
   check_responsiveness(host, report, now);
   // A worker has one report in flight and drops late answers: what the last
@@ -236,9 +237,9 @@
   // One way at a time: a reply to direct orders that are in flight would not
   // show what this answer orders. Only what ends cancelled tasks goes both
   // ways, for this answer renews their lease and direct orders can hang.
-  if (!host.exchanging) orders = orders_for(host);
+  if (!host.exchanging) orders = orders_.compose(host, now, may_start());
   host.answered_orders = beyond_clearing(orders);
-  if (host.exchanging) orders = cancelled_orders(host);
+  if (host.exchanging) orders = OrderComposer::cancellations(host);
   const bool awaited = host.answered_orders || !host.synchronized;
   if (awaited && host.unacknowledged_since == kNever) host.unacknowledged_since = now;
   host.last_answer = now;
@@ -447,88 +448,17 @@
   }
 }
 
-bool Leader::may_clear(const Exited& exited) {
-  // Only after what it reported is recorded: once cleared, the worker would
-  // start the attempt anew.
-  auto* job = model_.job(exited.job);
-  if (job == nullptr) return true;
-  if (group_commit_.finishing(exited.job)) return false;
-  const auto block =
-      job->blocks.find(exited.index / ledger::block_size(context_.settings.state.value_kb));
-  return block == job->blocks.end() || block->second->record->clean();
-}
-
 bool Leader::may_start() const {
   const double known = std::min(confirmed_, context_.read_index.current_as_of());
   return context_.event_loop.now() - known < k::kStartKnowledge || context_.outage();
 }
 
-std::vector<wire::Order> Leader::cancelled_orders(const Host& host) {
-  std::vector<wire::Order> orders;
-  for (const auto* task : host.tasks) {
-    if (orders.size() >= k::kMaxOrders) break;
-    const bool may_be_there =
-        task->phase == Phase::assigned && task->stopping && task->job->cancelled;
-    if (may_be_there)
-      orders.push_back({wire::Verb::stop, task->job->id, task->index, task->attempt, 0});
-  }
-  return orders;
-}
-
-void Leader::add_clear_orders(const Host& host, std::vector<wire::Order>& orders) {
-  for (const auto& exited : host.exited) {
-    if (orders.size() >= k::kMaxOrders) return;
-    if (may_clear(exited))
-      orders.push_back({wire::Verb::clear, exited.job, exited.index, exited.attempt, 0});
-  }
-}
-
-void Leader::add_stop_order(Task& task, std::vector<wire::Order>& orders) const {
-  // A task that saves is left alone unless its work is of no use. One that
-  // waits for its gang to have saved may be reported as running.
-  const double now = context_.event_loop.now();
-  if (task.wind_down_s > 0) {
-    if (task.state == TaskState::saving || now < task.stop_sent + k::kStopRepeat) return;
-    task.stop_sent = now;
-  }
-  orders.push_back({wire::Verb::stop, task.job->id, task.index, task.attempt, task.wind_down_s});
-}
-
-bool Leader::run_due(const Task& task, const Host& host) {
-  if (task.seen || task.block->record->written < task.needs) return false;
-  if (task.job->gang() && !gangs_.may_run(task)) return false;
-  // While the machine knows an earlier attempt it would refuse this one.
-  return std::none_of(host.exited.begin(), host.exited.end(), [&](const Exited& exited) {
-    return exited.index == task.index && exited.job == task.job->id && !may_clear(exited);
-  });
-}
-
-std::vector<wire::Order> Leader::orders_for(Host& host) {
-  std::vector<wire::Order> orders = cancelled_orders(host);
-  const bool starting = may_start();
-  for (const auto& name : host.unrecorded_tasks) {
-    if (orders.size() >= k::kMaxOrders) break;
-    orders.push_back({wire::Verb::stop, name.job, name.index, name.attempt, 0});
-  }
-  add_clear_orders(host, orders);
-  for (auto* task : host.tasks) {
-    if (orders.size() >= k::kMaxOrders) break;
-    if (task->phase != Phase::assigned || task->job->cancelled) continue;
-    if (task->stopping) {
-      add_stop_order(*task, orders);
-    } else if (starting && run_due(*task, host)) {
-      orders.push_back({wire::Verb::run, task->job->id, task->index, task->attempt, 0});
-      task->offered = true;
-    }
-  }
-  return orders;
-}
-
 // --- direct orders -----------------------------------------------------------------
 
 void Leader::give_orders() {
   if (!std::exchange(orders_due_, false) || !leader_lease_valid()) return;
   const double now = context_.event_loop.now();
+  const bool starting = may_start();
   auto& attention = model_.attention();
   for (auto it = attention.begin(); it != attention.end();) {
     auto* host = *it;
@@ -543,7 +473,7 @@
     const bool way = !host->exchanging && !host->answered_orders && now >= host->direct_after &&
                      !host->addr.empty();
     if (waits && way && exchanges_ < k::kExchangesMax) {
-      auto orders = orders_for(*host);
+      auto orders = orders_.compose(*host, now, starting);
       // Clearing alone is not worth a message of its own.
       if (beyond_clearing(orders)) exchange(*host, orders);
     }
--- a/src/engine/leader.hpp
+++ b/src/engine/leader.hpp
@@ -5,6 +5,7 @@
 #include "engine/fleet_autoscaler.hpp"
 #include "engine/gang_coordinator.hpp"
 #include "engine/host_expiry.hpp"
+#include "engine/order_composer.hpp"
 #include "engine/planner.hpp"
 #include "engine/read_index.hpp"
 #include "fleet/workers.hpp"
@@ -74,18 +75,9 @@
   void task_failed(Task& task, Host& host, double now);
   void absent_tasks(Host& host);
   void handle_recall(Host& host, double now);
-  [[nodiscard]] std::vector<wire::Order> orders_for(Host& host);
-  /// Appended for tasks that have exited; the list may grow up to its limit.
-  void add_clear_orders(const Host& host, std::vector<wire::Order>& orders);
-  void add_stop_order(Task& task, std::vector<wire::Order>& orders) const;
-  /// The machine may be told to run the task.
-  [[nodiscard]] bool run_due(const Task& task, const Host& host);
-  /// What no answer that renews the machine's lease may lack.
-  [[nodiscard]] static std::vector<wire::Order> cancelled_orders(const Host& host);
   /// Nobody can have confirmed a cancellation that this node has not heard of,
   /// but for the last few seconds.
   [[nodiscard]] bool may_start() const;
-  [[nodiscard]] bool may_clear(const Exited& exited);
 
   Context context_;
   std::uint64_t term_;
@@ -95,6 +87,7 @@
   Model model_;
   Estimates estimates_;
   GangCoordinator gangs_;
+  OrderComposer orders_;
   Planner planner_;
   FleetAutoscaler fleet_;
   HostExpiry expiry_;
--- /dev/null
+++ b/tests/support/worker.cpp
@@ -0,0 +1,309 @@
+#include <algorithm>
+
+#include "support/world.hpp"
+
+namespace elmstall::test {
+
+using wire::EndCause;
+using wire::TaskState;
+
+FakeWorker::FakeWorker(World& world, std::string id, std::string type, std::string zone, bool spot)
+    : world_(world),
+      id_(std::move(id)),
+      type_(std::move(type)),
+      zone_(std::move(zone)),
+      spot_(spot),
+      node_(world.pick(world.node_count())) {}
+
+void FakeWorker::start() {
+  lease_from_ = world_.loop.now();
+  next_report(0);
+  check_lease();
+}
+
+void FakeWorker::die() {
+  dead_ = true;
+  forget_all();
+}
+
+void FakeWorker::next_report(double delay) {
+  world_.loop.after(delay, [this, round = ++round_] {
+    if (later([this, round] {
+          if (round == round_) next_report(0);
+        }))
+      return;
+    if (!dead_ && round == round_ && !in_flight_) report();
+  });
+}
+
+void FakeWorker::hang(double seconds) { hung_until_ = world_.loop.now() + seconds; }
+
+bool FakeWorker::hung() const { return world_.loop.now() < hung_until_; }
+
+sched::Amount FakeWorker::fetching() const {
+  sched::Amount taken;
+  for (const auto& [name, task] : tasks_) {
+    const auto* job = world_.spec(name.first);
+    if (task.state == TaskState::fetching && job != nullptr)
+      taken += {job->cpus, job->gpus, job->memory_gb};
+  }
+  return taken;
+}
+
+bool FakeWorker::later(std::function<void()> fn) {
+  if (!hung()) return false;
+  world_.loop.at(hung_until_, std::move(fn));
+  return true;
+}
+
+void FakeWorker::changed() {
+  if (!in_flight_) next_report(std::max(0.0, last_report_ + 0.5 - world_.loop.now()));
+}
+
+void FakeWorker::check_lease() {
+  if (dead_) return;
+  expire();  // a hanging machine's tasks end with its lease, too
+  world_.loop.after(0.1, [this] { check_lease(); });
+}
+
+void FakeWorker::expire() {
+  if ((world_.loop.now() - lease_from_) * clock <= world_.settings.lease_s) return;
+  forget_all();
+  ++session_;
+  lease_from_ = world_.loop.now();
+}
+
+void FakeWorker::forget_all() {
+  for (const auto& [name, task] : std::exchange(tasks_, {})) {
+    world_.rules.off_machine(world_.loop.now(), name.first, name.second, id_);
+    if (in_gang(name)) world_.gangs.leave(name.first, name.second, task.attempt);
+  }
+}
+
+bool FakeWorker::in_gang(const Name& name) const {
+  const auto* spec = world_.spec(name.first);
+  return spec != nullptr && spec->kind == wire::JobKind::gang;
+}
+
+void FakeWorker::show_gang_task(const TaskName& name, std::uint64_t serial, TaskState state) {
+  if (later([this, name, serial, state] { show_gang_task(name, serial, state); })) return;
+  const auto found = tasks_.find(name);
+  if (found == tasks_.end() || found->second.serial != serial ||
+      found->second.state != TaskState::gathering)
+    return;
+  found->second.state = state;
+  changed();
+}
+
+void FakeWorker::end_gang_task(const TaskName& name, std::uint64_t serial, EndCause cause,
+                               bool saved) {
+  if (later([this, name, serial, cause, saved] { end_gang_task(name, serial, cause, saved); }))
+    return;
+  const auto found = tasks_.find(name);
+  if (found == tasks_.end() || found->second.serial != serial ||
+      found->second.state == TaskState::ended)
+    return;
+  end(name, cause, saved);
+}
+
+wire::Report FakeWorker::compose() {
+  wire::Report report{id_, id_, type_, zone_, spot_, session_, ++tick_, token_, std::nullopt, {}};
+  if (recall_at) report.recall_s = std::max(0.0, *recall_at - world_.loop.now());
+  for (const auto& [name, task] : tasks_)
+    report.tasks.push_back(
+        {name.first, name.second, task.attempt, task.state, task.cause, task.saved});
+  return report;
+}
+
+fleet::OrdersResult FakeWorker::direct(std::uint64_t token, std::uint64_t session,
+                                       const std::vector<wire::Order>& orders) {
+  using Outcome = fleet::OrdersResult::Outcome;
+  if (token < token_) return {Outcome::refused, compose()};
+  const bool learned = token > token_;
+  token_ = token;
+  if (session != session_) return {Outcome::refused, compose()};
+  for (const auto& order : orders) execute(order);
+  if (learned || !orders.empty()) changed();
+  return {Outcome::done, compose()};
+}
+
+void FakeWorker::report() {
+  const double sent = world_.loop.now();
+  const auto report = compose();
+  in_flight_ = true;
+  sent_session_ = session_;
+  last_report_ = sent;
+  const auto node = node_;
+  const auto tick = sent_tick_ = tick_;
+  world_.loop.after(4.0, [this, tick, node] {
+    if (dead_ || !in_flight_ || tick != sent_tick_) return;
+    in_flight_ = false;  // a hanging machine finds out when it goes on
+    node_ = (node + 1) % world_.node_count();
+    next_report(1.0);
+  });
+  const bool lost =
+      cut || reports_dropped || !world_.reachable(node, zone_) || world_.random() < world_.loss;
+  net::Request request{"POST", "/v1/report", wire::encode_report(report)};
+  if (lost) {
+    // Half of what gets stuck arrives much later, when nobody waits for it.
+    if (world_.random() < 0.5) {
+      world_.loop.after(5 + 40 * world_.random(), [this, node, request] {
+        world_.send_to_node(node, request, [](const net::Response&) {});
+      });
+    }
+    return;
+  }
+  if (world_.random() < copies) {
+    world_.loop.after(
+        copy_after > 0 ? copy_after : 2 + 40 * world_.random(),
+        [this, node, request] { world_.send_to_node(node, request, [](const net::Response&) {}); });
+  }
+  const double delay = 0.001 + 0.003 * world_.random();
+  world_.loop.after(delay, [this, tick, sent, node, request] {
+    world_.send_to_node(node, request, [this, tick, sent, node](const net::Response& response) {
+      if (cut || answers_dropped || !world_.reachable(node, zone_) || world_.random() < world_.loss)
+        return;
+      world_.loop.after(
+          0.002, [this, tick, sent, node, response] { answered(tick, sent, node, response); });
+    });
+  });
+}
+
+void FakeWorker::answered(std::uint64_t tick, double sent, std::size_t node,
+                          const net::Response& response) {
+  if (dead_ || hung() || !in_flight_ || tick != sent_tick_) return;
+  in_flight_ = false;
+  if (response.status == 421) {
+    const auto document = wire::Document::parse(response.body);
+    const auto name = document.fields().maybe_text("steward");
+    if (name && *name != "node-" + std::to_string(node)) {
+      node_ = static_cast<std::size_t>(name->back() - '0');
+      return next_report(0.5 * world_.random());
+    }
+  }
+  if (response.status != 200) {
+    node_ = (node + 1) % world_.node_count();
+    return next_report(1.0);
+  }
+  next_report(world_.settings.report_s * (0.75 + 0.5 * world_.random()));
+  const auto document = wire::Document::parse(response.body);
+  const auto orders = wire::decode_orders(document.root());
+  if (orders.token < token_ || sent_session_ != session_) return;
+  const bool learned = orders.token > token_;
+  token_ = orders.token;
+  lease_from_ = sent;
+  for (const auto& order : orders.orders) execute(order);
+  if (learned) changed();
+}
+
+void FakeWorker::execute(const wire::Order& order) {
+  const Name name{order.job, order.index};
+  const auto found = tasks_.find(name);
+  switch (order.verb) {
+    case wire::Verb::run:
+      if (found != tasks_.end() && found->second.attempt == order.attempt) return;
+      if (found != tasks_.end()) return;  // in use: it stays with the other attempt
+      return run(name, order.attempt);
+    case wire::Verb::stop:
+      if (found == tasks_.end() || found->second.attempt != order.attempt ||
+          found->second.state == TaskState::ended)
+        return;
+      return stop(name, found->second, order.wind_down_s);
+    case wire::Verb::clear:
+      if (found == tasks_.end() || found->second.attempt != order.attempt ||
+          found->second.state != TaskState::ended)
+        return;
+      tasks_.erase(found);
+      return changed();
+  }
+}
+
+void FakeWorker::stop(const Name& name, Task& task, double wind_down_s) {
+  if (wind_down_s <= 0) return end(name, EndCause::stopped, false);
+  if (task.state == TaskState::saving) return;
+  const auto& spec = *world_.spec(name.first);
+  if (task.state != TaskState::running) return end(name, EndCause::stopped, false);
+  if (in_gang(name)) {
+    if (wind_down_s < spec.save_s || !world_.gangs.stop(name.first, name.second, task.attempt))
+      return end(name, EndCause::stopped, false);
+    task.state = TaskState::saving;
+    return changed();
+  }
+  task.state = TaskState::saving;
+  world_.loop.after(wind_down_s, [this, name, serial = task.serial] {
+    const auto saving = tasks_.find(name);
+    if (!dead_ && saving != tasks_.end() && saving->second.serial == serial &&
+        saving->second.state == TaskState::saving)
+      end(name, EndCause::stopped, true);
+  });
+  changed();
+}
+
+void FakeWorker::run(const Name& name, std::uint64_t attempt) {
+  auto& task = tasks_[name];
+  task = {attempt, TaskState::fetching, EndCause::none, false, ++serial_};
+  const auto* spec = world_.spec(name.first);
+  sched::Amount used;
+  for (const auto& [other, state] : tasks_) {
+    if (state.state == TaskState::ended) continue;
+    const auto* owner = world_.spec(other.first);
+    used += {owner->cpus, owner->gpus, owner->memory_gb};
+  }
+  const auto& machine_type = world_.machine_types.front();
+  if (!used.fits({machine_type.cpus, machine_type.gpus, machine_type.memory_gb})) {
+    task.state = TaskState::ended;
+    task.cause = EndCause::no_room;
+    return changed();
+  }
+  // Without an image to fetch it runs at once.
+  world_.loop.after(spec->image_gb > 0 ? 0.5 + spec->image_gb : 0,
+                    [this, name, serial = serial_] { running(name, serial); });
+}
+
+void FakeWorker::running(const Name& name, std::uint64_t serial) {
+  if (later([this, name, serial] { running(name, serial); })) return;
+  const auto found = tasks_.find(name);
+  if (dead_ || found == tasks_.end() || found->second.serial != serial ||
+      found->second.state != TaskState::fetching)
+    return;
+  world_.rules.on_machine(world_.loop.now(), name.first, name.second, {id_, type_, zone_, spot_});
+  const auto* spec = world_.spec(name.first);
+  const bool fails = world_.random() < fail_share;
+  if (in_gang(name)) {
+    found->second.state = TaskState::gathering;
+    if (world_.gangs.completed(name.first)) return end(name, EndCause::done, false);
+    if (fails) return end(name, EndCause::error, false);
+    changed();
+    return world_.gangs.join(name.first, name.second, found->second.attempt, {this, serial});
+  }
+  found->second.state = TaskState::running;
+  changed();
+  if (spec->kind == wire::JobKind::service && !fails) return;
+  const double takes = spec->expect_s * (0.6 + 0.8 * world_.random());
+  world_.loop.after(takes, [this, name, serial, fails] { finish(name, serial, fails); });
+}
+
+void FakeWorker::finish(const Name& name, std::uint64_t serial, bool fails) {
+  if (later([this, name, serial, fails] { finish(name, serial, fails); })) return;
+  const auto task = tasks_.find(name);
+  if (dead_ || task == tasks_.end() || task->second.serial != serial ||
+      task->second.state == TaskState::ended)
+    return;
+  if (!fails) world_.rules.completed(name.first, name.second);
+  const bool last = world_.rules.completed_tasks(name.first) == world_.spec(name.first)->tasks;
+  if (last && world_.on_last_task) world_.on_last_task(name.first);
+  end(name, fails ? EndCause::error : EndCause::done, false);
+}
+
+void FakeWorker::end(const Name& name, EndCause cause, bool saved) {
+  auto& task = tasks_.at(name);
+  if (task.state != TaskState::fetching)
+    world_.rules.off_machine(world_.loop.now(), name.first, name.second, id_);
+  task.state = TaskState::ended;
+  task.cause = cause;
+  task.saved = saved;
+  changed();
+  if (in_gang(name)) world_.gangs.leave(name.first, name.second, task.attempt);
+}
+
+}  // namespace elmstall::test
--- /dev/null
+++ b/tests/support/worker.hpp
@@ -0,0 +1,95 @@
+// A worker as the protocol page describes it, in virtual time.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet/workers.hpp"
+#include "net/http_server.hpp"
+#include "sched/resources.hpp"
+
+namespace elmstall::test {
+
+class World;
+
+class FakeWorker {
+ public:
+  FakeWorker(World& world, std::string id, std::string type, std::string zone, bool spot);
+  void start();
+  void die();
+  [[nodiscard]] bool dead() const { return dead_; }
+  [[nodiscard]] const std::string& id() const { return id_; }
+  [[nodiscard]] const std::string& type() const { return type_; }
+  [[nodiscard]] const std::string& zone() const { return zone_; }
+  [[nodiscard]] bool spot() const { return spot_; }
+  /// Straight to this worker, whenever it arrives.
+  fleet::OrdersResult direct(std::uint64_t token, std::uint64_t session,
+                             const std::vector<wire::Order>& orders);
+  /// Stands still with all its tasks, and goes on later.
+  void hang(double seconds);
+  [[nodiscard]] bool hung() const;
+  // What becomes of a gang's task here, decided for the whole gang.
+  using TaskName = std::pair<std::string, std::uint32_t>;
+  void show_gang_task(const TaskName& name, std::uint64_t serial, wire::TaskState state);
+  void end_gang_task(const TaskName& name, std::uint64_t serial, wire::EndCause cause, bool saved);
+  /// It is up and has reported.
+  [[nodiscard]] bool reports() const { return tick_ > 0; }
+  /// What its tasks take that wait for their image.
+  [[nodiscard]] sched::Amount fetching() const;
+  [[nodiscard]] double hung_until() const { return hung_until_; }
+  bool cut = false;              ///< from every node
+  bool answers_dropped = false;  ///< its reports arrive, but neither answers nor commands reach it
+  bool reports_dropped = false;  ///< it reaches no node, while direct commands reach it
+  double copies = 0;             ///< share of its reports of which a copy comes late
+  double copy_after = 0;         ///< seconds; 0: somewhere between 2 and 42
+  double clock = 1;              ///< how fast its steady clock runs
+  std::optional<double> recall_at;
+  double fail_share = 0;  ///< of its tasks, for a faulty machine
+
+ private:
+  struct Task {
+    std::uint64_t attempt = 0;
+    wire::TaskState state = wire::TaskState::fetching;
+    wire::EndCause cause = wire::EndCause::none;
+    bool saved = false;
+    std::uint64_t serial = 0;
+  };
+  using Name = TaskName;
+
+  [[nodiscard]] wire::Report compose();
+  void report();
+  void answered(std::uint64_t tick, double sent, std::size_t node, const net::Response& response);
+  void execute(const wire::Order& order);
+  void stop(const Name& name, Task& task, double wind_down_s);
+  [[nodiscard]] bool in_gang(const Name& name) const;
+  void run(const Name& name, std::uint64_t attempt);
+  void running(const Name& name, std::uint64_t serial);
+  void finish(const Name& name, std::uint64_t serial, bool fails);
+  void end(const Name& name, wire::EndCause cause, bool saved);
+  void check_lease();
+  void expire();
+  /// True while it hangs; `fn` then follows once it goes on.
+  bool later(std::function<void()> fn);
+  void forget_all();
+  void changed();
+  void next_report(double delay);
+
+  World& world_;
+  std::string id_, type_, zone_;
+  bool spot_ = false;
+  bool dead_ = false;
+  std::uint64_t session_ = 1, tick_ = 0, token_ = 0, serial_ = 0, round_ = 0;
+  std::uint64_t sent_tick_ = 0, sent_session_ = 0;  ///< of the report in flight
+  double lease_from_ = 0;
+  double hung_until_ = -1;
+  double last_report_ = -10;
+  bool in_flight_ = false;
+  std::size_t node_ = 0;
+  std::map<Name, Task> tasks_;
+};
+
+}  // namespace elmstall::test
