Gangs that have to fetch bring their image to many machines

Change: a gang that fits on machines with its image goes there whole; any other goes one task to a machine without it, where others lose nothing.

--- a/src/sched/gang_placement.cpp
+++ b/src/sched/gang_placement.cpp
@@ -11,12 +11,12 @@
 struct Cost {
   std::size_t displacing = 0;
   std::size_t avoided = 0;
+  std::size_t missing = 0;  ///< tasks beyond the slots of machines with the image
   std::size_t slow_fetches = 0;
-  std::size_t fetches = 0;
   double waste = 0;
   [[nodiscard]] bool before(const Cost& other) const {
-    return std::tie(displacing, avoided, slow_fetches, fetches, waste) <
-           std::tie(other.displacing, other.avoided, other.slow_fetches, other.fetches,
+    return std::tie(displacing, avoided, missing, slow_fetches, waste) <
+           std::tie(other.displacing, other.avoided, other.missing, other.slow_fetches,
                     other.waste);
   }
 };
@@ -53,10 +53,8 @@
   Filler(const std::vector<GangSite>& sites, const GangRequest& request)
       : sites_(sites), request_(request), left_(request.tasks) {}
 
-  void take_free(std::size_t position) {
-    const auto count = std::min({sites_[position].free_slots, left_, zone_room(position)});
-    take(position, count, 0);
-  }
+  void take_free(std::size_t position) { take_up_to(position, left_); }
+  void take_one(std::size_t position) { take_up_to(position, 1); }
 
   void take_extra(std::size_t position) {
     const auto count = std::min({sites_[position].extra_slots, left_, zone_room(position)});
@@ -73,7 +71,6 @@
       result.cost.displacing += share.displacing;
       result.cost.avoided += site.avoid ? 1 : 0;
       result.cost.slow_fetches += fetch_rank(site) > 1 ? 1 : 0;
-      result.cost.fetches += site.cached ? 0 : 1;
       result.cost.waste += site.waste * static_cast<double>(share.tasks);
     }
     return result;
@@ -87,6 +84,13 @@
     return request_.zone_limit - std::min(request_.zone_limit, there);
   }
 
+  void take_up_to(std::size_t position, std::size_t most) {
+    const auto found = shares_.find(position);
+    const std::size_t taken = found == shares_.end() ? 0 : found->second.tasks;
+    const auto free = sites_[position].free_slots - taken;
+    take(position, std::min({free, most, left_, zone_room(position)}), 0);
+  }
+
   void take(std::size_t position, std::size_t count, std::size_t displacing) {
     if (count == 0) return;
     auto& share = shares_[position];
@@ -104,10 +108,30 @@
   std::map<std::string, std::size_t> in_zone_;
 };
 
-std::optional<Placement> fill(const std::vector<GangSite>& sites,
-                              const std::vector<std::size_t>& order, const GangRequest& request,
-                              bool displace) {
+using Order = std::vector<std::size_t>;
+
+/// On machines that have the image, all of it.
+std::optional<Placement> fill_cached(const std::vector<GangSite>& sites, const Order& order,
+                                     const GangRequest& request) {
+  Filler filler(sites, request);
+  for (const auto position : order) {
+    if (sites[position].cached && !sites[position].avoid) filler.take_free(position);
+  }
+  if (!filler.complete()) return std::nullopt;
+  return filler.placement();
+}
+
+/// Where a fetch is needed the whole gang waits for it. Tasks then go one by one
+/// to machines without the image where others lose nothing: it comes to many
+/// machines, and the room beside it is left to a gang that needs no fetch.
+std::optional<Placement> fill_fetching(const std::vector<GangSite>& sites, const Order& order,
+                                       const GangRequest& request, bool displace) {
   Filler filler(sites, request);
+  for (const auto position : order) {
+    const auto& site = sites[position];
+    const bool seed = !site.cached && !site.avoid && !site.fetching && site.waste <= 0;
+    if (seed) filler.take_one(position);
+  }
   for (const auto position : order) filler.take_free(position);
   if (!filler.complete() && displace) {
     auto by_cost = order;
@@ -117,7 +141,18 @@
     for (const auto position : by_cost) filler.take_extra(position);
   }
   if (!filler.complete()) return std::nullopt;
-  return filler.placement();
+  auto placement = filler.placement();
+  std::size_t cached = 0;
+  for (const auto position : order)
+    cached += sites[position].cached ? sites[position].free_slots : 0;
+  placement.cost.missing = request.tasks - std::min(request.tasks, cached);
+  return placement;
+}
+
+std::optional<Placement> fill(const std::vector<GangSite>& sites, const Order& order,
+                              const GangRequest& request, bool displace) {
+  auto cached = fill_cached(sites, order, request);
+  return cached ? cached : fill_fetching(sites, order, request, displace);
 }
 
 }  // namespace
