--- a/tests/falling_limits_test.cpp
+++ b/tests/falling_limits_test.cpp
@@ -3,7 +3,6 @@
 // rules hold.
 #include <gtest/gtest.h>
 
-#include "support/faults.hpp"
 #include "support/histories.hpp"
 #include "support/scenarios.hpp"
 
@@ -17,7 +16,6 @@
   World world(90'000 + seed, 3 + seed % 3, kLowerLimits);
   world.loss = 0.01;
   world.cloud.capacity = 40;
-  const auto& faults = concurrent_faults();
   std::string story;
   int jobs = 0;
   const double falls_at = 40 + world.random() * 80;
@@ -39,9 +37,7 @@
       story += " | limits at " + std::to_string(static_cast<int>(t));
     }
     if (t >= next_fault && t < 165) {
-      const auto& fault = faults[world.pick(faults.size())];
-      story += " | " + std::to_string(static_cast<int>(t)) + " s: " + fault.name;
-      fault.begin(world, world.pick(3), 2 + world.random() * 20);
+      story += begin_some_fault(world, t);
       next_fault = t + 8 + world.random() * 25;
     }
     ASSERT_TRUE(world.rules.broken().empty())
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -193,13 +193,18 @@
   expect_rules(world);
 }
 
-TEST(Gang, ASpotNoticeBeginsTheStopForAll) {
-  World world(808);
+/// A gang that may be on spot machines, for so long after it has begun.
+void run_on_spot_for(World& world, double seconds) {
   auto job = gang(1, 4, 60);
   job.spot = true;
   world.submit(job);
   ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
-  world.run_until(world.loop.now() + 7);
+  world.run_until(world.loop.now() + seconds);
+}
+
+TEST(Gang, ASpotNoticeBeginsTheStopForAll) {
+  World world(808);
+  ASSERT_NO_FATAL_FAILURE(run_on_spot_for(world, 7));
   worker_of(world, "job-1")->recall_at = world.loop.now() + 20;
   ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::stopping));
   world.run_until(world.loop.now() + 6);
@@ -209,11 +214,7 @@
 
 TEST(Gang, ANoticeTooShortToSaveIsAPlainLoss) {
   World world(809);
-  auto job = gang(1, 4, 60);
-  job.spot = true;
-  world.submit(job);
-  ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::running));
-  world.run_until(world.loop.now() + 7);
+  ASSERT_NO_FATAL_FAILURE(run_on_spot_for(world, 7));
   worker_of(world, "job-1")->recall_at = world.loop.now() + 2;
   ASSERT_TRUE(wait_for(world, "job-1", engine::Gang::State::ending));
   world.run_until(world.loop.now() + 5);
--- a/tests/production/upgrade_test.cpp
+++ b/tests/production/upgrade_test.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 
 #include "production/adapter.hpp"
-#include "support/faults.hpp"
 #include "support/histories.hpp"
 #include "support/scenarios.hpp"
 
@@ -17,7 +16,6 @@
   World world(95'000 + seed, 3 + seed % 3, kLowerLimits, make_production_node);
   world.loss = 0.01;
   world.cloud.capacity = 40;
-  const auto& faults = concurrent_faults();
   std::string story;
   int jobs = 0;
   std::size_t next_node = 0;
@@ -55,9 +53,7 @@
       story += " | limits at " + std::to_string(static_cast<int>(t));
     }
     if (t >= next_fault && t < 175) {
-      const auto& fault = faults[world.pick(faults.size())];
-      story += " | " + std::to_string(static_cast<int>(t)) + " s: " + fault.name;
-      fault.begin(world, world.pick(3), 2 + world.random() * 20);
+      story += begin_some_fault(world, t);
       next_fault = t + 8 + world.random() * 25;
     }
     ASSERT_TRUE(world.rules.broken().empty())
--- a/tests/support/histories.hpp
+++ b/tests/support/histories.hpp
@@ -8,7 +8,7 @@
 #include <map>
 #include <string>
 
-#include "support/world.hpp"
+#include "support/faults.hpp"
 
 namespace elmstall::test {
 
@@ -22,6 +22,14 @@
   return wanted == nullptr ? usual : static_cast<unsigned>(std::max(1, std::atoi(wanted)));
 }
 
+/// One of those that meet badly; returns its line of the history's story.
+inline std::string begin_some_fault(World& world, double now) {
+  const auto& faults = concurrent_faults();
+  const auto& fault = faults[world.pick(faults.size())];
+  fault.begin(world, world.pick(3), 2 + world.random() * 20);
+  return " | " + std::to_string(static_cast<int>(now)) + " s: " + fault.name;
+}
+
 /// A fifth of the jobs, each in its turn.
 inline void poll_some(World& world, int jobs, double now) {
   for (int job = 1; job <= jobs; ++job) {
