--- /dev/null
+++ b/tests/answer_order_test.cpp
@@ -0,0 +1,152 @@
+/// \file
+/// No answer goes back: once a user was told that a job is done or cancelled, no controller says
+/// anything else of it, whichever request is asked and whatever the controller knows at that time.
+#include <gtest/gtest.h>
+
+#include "support/histories.hpp"
+#include "support/scenarios.hpp"
+
+namespace elmstall::test {
+namespace {
+
+using wire::JobState;
+
+/// A job that is accepted and cancelled through one controller, while another one does not hear of
+/// it: its watch is held. The job has no final record yet, for its machines can't be asked.
+class AnswersOfALaggingController : public ::testing::Test {
+ protected:
+  void accept_and_cancel() {
+    world_.run_until(10);
+    const auto lead = leader_index(world_);
+    lagging_ = (lead + 1) % 3;
+    store().faults.watch_held = true;
+    world_.expect(job_);
+    const auto accepted = world_.response_of(lead, submit_request(job_), 0.3);
+    ASSERT_TRUE(accepted);
+    ASSERT_EQ(accepted->status, 201);
+    world_.run_for(20);
+    ASSERT_EQ(running(world_, job_.id), job_.tasks);
+    cut_all_workers(world_);
+    ASSERT_TRUE(world_.cancel_at(lead, job_.id));
+  }
+  FakeStore& store() { return world_.store(lagging_); }
+  std::optional<net::Response> ask_lagging(const net::Request& request) {
+    return world_.response_of(lagging_, request, 6);
+  }
+  /// An answer may be missing, but it must not tell a state other than cancelled.
+  static void expect_nothing_but_cancelled(const std::optional<net::Response>& response) {
+    ASSERT_TRUE(response);
+    if (response->status == 503) return;
+    ASSERT_EQ(response->status, 200);
+    EXPECT_EQ(job_state_in(*response), JobState::cancelled);
+  }
+
+  World world_{4100};
+  std::size_t lagging_ = 0;
+  wire::JobSpec job_ = array(1, 2, 3000);
+};
+
+/// The conflict with the accepted job gets lost on its way. The controller then finds the job in
+/// the state store, which shows that the job was accepted, but not that it is still queued.
+TEST_F(AnswersOfALaggingController, ARepeatedSubmissionWithoutAReplyOfTheStateStore) {
+  accept_and_cancel();
+  store().faults.late_writes = 1;
+  expect_nothing_but_cancelled(ask_lagging(submit_request(job_)));
+}
+
+/// The same, and the controller's watch goes on in time: the user gets an answer.
+TEST_F(AnswersOfALaggingController, ARepeatedSubmissionIsAnsweredOnceTheReplicaIsCurrent) {
+  accept_and_cancel();
+  store().faults.late_writes = 1;
+  world_.loop.after(1, [&] { store().faults.watch_held = false; });
+  const auto response = ask_lagging(submit_request(job_));
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 200);
+  expect_nothing_but_cancelled(response);
+}
+
+TEST_F(AnswersOfALaggingController, PollsAndOtherSubmissions) {
+  accept_and_cancel();
+  expect_nothing_but_cancelled(ask_lagging(status_request(job_.id)));
+  expect_nothing_but_cancelled(ask_lagging(submit_request(job_)));
+  auto rejected = job_;
+  rejected.team = "nobody";
+  expect_nothing_but_cancelled(ask_lagging(submit_request(rejected)));
+}
+
+/// Random histories in which users look closely, and in which answers of the state store get lost,
+/// writes are applied late, watches lag, and controllers stand still, end and change the lead.
+class CloseLooks : public ::testing::Test {
+ protected:
+  /// Lasts some seconds and strikes one node, or all.
+  static void begin_fault(World& world) {
+    const auto node = world.pick(world.node_count());
+    const double length = 1 + 6 * world.random();
+    auto& faults = world.store(node).faults;
+    const auto end = [&world, node, length](auto&& undo) {
+      world.loop.after(length, [&world, node, undo] { undo(world.store(node).faults); });
+    };
+    switch (world.pick(8)) {
+      case 0:
+        faults.watch_held = true;
+        return end([](FakeStore::Faults& ended) { ended.watch_held = false; });
+      case 1:  // carried out at once, only the answer is lost
+        faults.late_writes = 0.7;
+        faults.late_by = 0.002;
+        return end([](FakeStore::Faults& ended) { ended.late_writes = ended.late_by = 0; });
+      case 2:
+        faults.late_writes = 0.5;
+        return end([](FakeStore::Faults& ended) { ended.late_writes = 0; });
+      case 3:
+        faults.lost = 0.3;
+        return end([](FakeStore::Faults& ended) { ended.lost = 0; });
+      case 4:
+        faults.slow = 1.5;
+        return end([](FakeStore::Faults& ended) { ended.slow = 0; });
+      case 5:
+        return world.freeze(node, length);
+      case 6:
+        return world.crash(node, 0.1 + length * world.random());
+      default:
+        world.stop_state_store();
+        world.loop.after(length / 3, [&world] { world.restore_state_store(); });
+    }
+  }
+
+  /// Returns the number of jobs that were called done.
+  static std::size_t play(unsigned seed) {
+    World world(41'000 + seed, 3 + seed % 3);
+    world.cloud.capacity = 30;
+    world.users.look_closely();
+    std::size_t jobs = 0;
+    for (double t = 0; t < 150; t += 0.5) {
+      world.run_until(t);
+      const bool busy = t > 10 && t < 130;
+      if (busy && world.random() < 0.5) submit_and_perhaps_cancel(world, ++jobs);
+      if (busy && world.random() < 0.25) begin_fault(world);
+      if (jobs > 0) world.poll("job-" + std::to_string(1 + world.pick(jobs)));
+    }
+    EXPECT_EQ(world.rules.first_broken(), "");
+    return world.rules.finished();
+  }
+
+  static void submit_and_perhaps_cancel(World& world, std::size_t number) {
+    const auto tasks = 1 + static_cast<std::uint32_t>(world.pick(2));
+    const auto job = array(static_cast<int>(number), tasks, 2);
+    world.submit(job);
+    if (world.random() < 0.6)
+      world.loop.after(6 * world.random(), [&world, id = job.id] { world.cancel(id); });
+  }
+};
+
+TEST_F(CloseLooks, NoAnswerGoesBack) {
+  std::size_t finished = 0;
+  for (unsigned seed = 1; seed <= last_seed(30); ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    finished += play(seed);
+  }
+  EXPECT_GT(finished, 0U);
+}
+
+}  // namespace
+}  // namespace elmstall::test
--- a/tests/support/users.hpp
+++ b/tests/support/users.hpp
@@ -6,7 +6,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "net/http_server.hpp"
 #include "wire/types.hpp"
@@ -29,6 +31,10 @@
   void cancel(const std::string& id);
   /// Asks once for the state of the job.
   void poll(const std::string& id);
+  /// From now on users ask at all nodes, within milliseconds and again some seconds later, and
+  /// repeat the submission there, whenever they were told for the first time that a job is
+  /// accepted, done or cancelled.
+  void look_closely() { close_looks_ = true; }
   /// Cancels through this node, once, and lets `patience_s` pass; true if the response said that
   /// the job is cancelled.
   bool cancel_at(std::size_t node, const std::string& id, double patience_s);
@@ -46,15 +52,23 @@
   /// Sends a request to a node; `done` gets nothing if no response comes within `limit_s`.
   void send(std::size_t node, net::Request request, double limit_s, Done done);
   void deliver(std::size_t node, const net::Request& request, const Done& done);
+  void poll_at(std::size_t node, const std::string& id);
+  /// Submits the job once; `otherwise` is called when that did not end it.
+  void submit_at(std::size_t node, const wire::JobSpec& spec, std::function<void()> otherwise);
   void repeat_submit(const wire::JobSpec& spec, double until);
   void repeat_cancel(const std::string& id, double until);
   /// `asked`: when the request was sent.
   void note_status(const std::string& id, const net::Response& response, double asked);
+  /// Passes what a user was told of the job's state to the rule checker.
+  void told_state(const std::string& id, wire::JobState state, double asked);
+  void look_at_all_nodes(const std::string& id);
 
   World& world_;
   std::map<std::string, wire::JobSpec> specs_;
   std::map<std::string, wire::JobState> told_;
   std::map<std::string, double> replied_at_;
+  bool close_looks_ = false;
+  std::set<std::pair<std::string, wire::JobState>> looked_at_;  ///< states that were told before
 };
 
 }  // namespace elmstall::test
