Every state told to a user comes from a typed source; an answer can't go back

Cause: three kinds of answers did not rest on current knowledge. (1) A submission whose commit got no answer was told 201 'queued' from the bare record of the job, although another controller had confirmed its cancellation. (2) The success of a commit was told as 'queued' even if it arrived after the mirror had seen the cancellation. (3) A read that began before a cancellation could end after this controller had told it. Change: ConfirmedStatus can be made only of a final record, a cancel mark, a linearizable read (a proof that only ReadIndex makes and that can't be kept) or an applied commit of the request itself. StatusResponder alone makes the answers: it logs each at debug level with job, state, path, revisions and term, counts them by path, remembers 5,000 final states that were told, replaces an older state that was under way, and answers 503 with an error in the log for a contradiction; the simulated world fails on one. (1) now asks like any question.

--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -11,6 +11,13 @@
 namespace k = constants;
 using store::Outcome;
 
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kCreated = 201;
+
+}  // namespace
+
 // --- every request -----------------------------------------------------------
 
 UserApi::CallPtr UserApi::admit(net::Responder respond, double patience_s) {
@@ -20,6 +27,7 @@
   }
   const double now = loop_.now();
   auto call = std::make_shared<Call>();
+  call->asked_at = now;
   call->deadline = now + patience_s;
   call->respond = [this, now, respond = std::move(respond)](net::Response response) {
     // A 503 is caused by trouble of the state service, so its time does not show this controller's
@@ -41,9 +49,9 @@
 
 // --- answers -----------------------------------------------------------------
 
-void UserApi::reply_status(const CallPtr& call, int http_status, const wire::JobStatus& status,
+void UserApi::reply_status(const CallPtr& call, int http_status, const ConfirmedStatus& status,
                            wire::TaskCounts counts) {
-  call->respond({http_status, wire::encode_status(status, counts), 0});
+  call->respond(responder_.respond(http_status, status, counts, call->asked_at));
 }
 
 void UserApi::reply_error(const CallPtr& call, int http_status, std::string_view text) {
@@ -59,15 +67,16 @@
 void UserApi::reply_if_known(const CallPtr& call, wire::TaskCounts counts,
                              std::function<void()> otherwise) {
   // A final state never changes, so no read index is needed to answer with it.
-  if (mirror_.final_state(call->id))
-    return reply_status(call, 200, mirror_.status(call->id), counts);
-  read_index_.request(call->deadline - loop_.now(),
-                      [this, call, counts, otherwise = std::move(otherwise)](bool current) {
-                        if (!current) return reply_unavailable(call);
-                        if (in_mirror(call->id))
-                          return reply_status(call, 200, mirror_.status(call->id), counts);
-                        reply_if_final(call, counts, otherwise);
-                      });
+  if (const auto status = ConfirmedStatus::of_final_record(mirror_, call->id))
+    return reply_status(call, kOk, *status, counts);
+  read_index_.request(
+      call->deadline - loop_.now(), [this, call, counts, otherwise = std::move(otherwise)](
+                                        const election::LinearizableRead* read) {
+        if (read == nullptr) return reply_unavailable(call);
+        if (const auto status = ConfirmedStatus::of_current_mirror(*read, mirror_, call->id))
+          return reply_status(call, kOk, *status, counts);
+        reply_if_final(call, counts, otherwise);
+      });
 }
 
 void UserApi::reply_if_final(const CallPtr& call, wire::TaskCounts counts,
@@ -80,7 +89,8 @@
                if (result.outcome == Outcome::missing) return otherwise();
                if (result.outcome != Outcome::ok) return reply_unavailable(call);
                mirror_.remember_final(call->id, store::decode_final(result.entry.value));
-               reply_status(call, 200, mirror_.status(call->id), counts);
+               const auto status = ConfirmedStatus::of_final_record(mirror_, call->id);
+               reply_status(call, kOk, status.value(), counts);
              }));
 }
 
@@ -135,10 +145,6 @@
                  [call, reason] { reply_error(call, 422, to_text(reason)); });
 }
 
-void UserApi::reply_created(const CallPtr& call) {
-  reply_status(call, 201, {call->id, wire::JobState::queued, 0, 0}, wire::TaskCounts::omitted);
-}
-
 void UserApi::create_job(const CallPtr& call) {
   wire::Transaction transaction;
   // The absence of a final record is a precondition too (rule 8): a copy of this request that
@@ -153,29 +159,28 @@
 }
 
 void UserApi::on_create_result(const CallPtr& call, const store::CommitResult& result) {
+  if (const auto commit = AppliedCommit::of(result)) {
+    if (const auto status = ConfirmedStatus::created(*commit, mirror_, call->id))
+      return reply_status(call, kCreated, *status, wire::TaskCounts::omitted);
+  }
   switch (result.outcome) {
     case Outcome::ok:
-      return reply_created(call);
     case Outcome::conflict:
       return reply_if_known(call, wire::TaskCounts::omitted, [call] { reply_unavailable(call); });
     case Outcome::unavailable:
       return retry_before_deadline(call, [this, call] { create_job(call); });
     case Outcome::unknown:
-      return confirm_created(call);
+      // This request may have created the job. Or the answer that got lost was a conflict: another
+      // controller accepted the job before, and it may be cancelled or done by now. The bare record
+      // does not tell which, so the answer is that to any question about the job.
+      return reply_if_known(call, wire::TaskCounts::omitted, [this, call] {
+        retry_before_deadline(call, [this, call] { create_job(call); });
+      });
     default:
       return reply_unavailable(call);
   }
 }
 
-void UserApi::confirm_created(const CallPtr& call) {
-  store_.get(store::job_key(call->id), scope_.wrap([this, call](const store::GetResult& result) {
-    if (result.outcome == Outcome::ok) return reply_created(call);
-    if (result.outcome == Outcome::missing)
-      return retry_before_deadline(call, [this, call] { create_job(call); });
-    reply_unavailable(call);
-  }));
-}
-
 // --- cancellations -----------------------------------------------------------
 
 void UserApi::cancel(const std::string& id, net::Responder respond) {
@@ -189,18 +194,19 @@
 void UserApi::cancel_live_job(const CallPtr& call) {
   const auto* job = mirror_.job(call->id);
   if (job == nullptr) return cancel_after_read_index(call);
-  if (job->record.cancelled)
-    return reply_status(call, 200, mirror_.status(call->id), wire::TaskCounts::omitted);
+  if (const auto status = ConfirmedStatus::of_cancel_mark(mirror_, call->id))
+    return reply_status(call, kOk, *status, wire::TaskCounts::omitted);
   record_cancellation(call, *job);
 }
 
 void UserApi::cancel_after_read_index(const CallPtr& call) {
   // The job is over, or unknown, or was submitted too recently for this mirror.
-  read_index_.request(call->deadline - loop_.now(), [this, call](bool current) {
-    if (!current && !mirror_.final_state(call->id)) return reply_unavailable(call);
-    if (mirror_.job(call->id) != nullptr) return cancel_live_job(call);
-    reply_if_known(call, wire::TaskCounts::omitted, [call] { reply_no_such_job(call); });
-  });
+  read_index_.request(
+      call->deadline - loop_.now(), [this, call](const election::LinearizableRead* read) {
+        if (read == nullptr && !mirror_.final_state(call->id)) return reply_unavailable(call);
+        if (mirror_.job(call->id) != nullptr) return cancel_live_job(call);
+        reply_if_known(call, wire::TaskCounts::omitted, [call] { reply_no_such_job(call); });
+      });
 }
 
 void UserApi::record_cancellation(const CallPtr& call, const store::Mirror::Job& job) {
@@ -216,19 +222,20 @@
 }
 
 void UserApi::on_cancel_result(const CallPtr& call, const store::CommitResult& result) {
-  if (result.outcome == Outcome::ok) {
+  if (const auto commit = AppliedCommit::of(result)) {
     cancelled_(call->id);
-    return reply_status(call, 200, {call->id, wire::JobState::cancelled, 0, 0},
+    return reply_status(call, kOk, ConfirmedStatus::cancelled(*commit, call->id),
                         wire::TaskCounts::omitted);
   }
   if (result.outcome == Outcome::unavailable)
     return retry_before_deadline(call, [this, call] { cancel_live_job(call); });
   // The record was changed by another controller, or perhaps by this very request if its outcome
   // is unknown. A mirror that is current shows which of the two happened.
-  read_index_.request(call->deadline - loop_.now(), [this, call](bool current) {
-    if (!current) return reply_unavailable(call);
-    retry_before_deadline(call, [this, call] { cancel_live_job(call); });
-  });
+  read_index_.request(call->deadline - loop_.now(),
+                      [this, call](const election::LinearizableRead* read) {
+                        if (read == nullptr) return reply_unavailable(call);
+                        retry_before_deadline(call, [this, call] { cancel_live_job(call); });
+                      });
 }
 
 }  // namespace elmstall::api
--- a/src/api/user_api.hpp
+++ b/src/api/user_api.hpp
@@ -2,9 +2,9 @@
 /// The requests of users: submissions, polls and cancellations.
 ///
 /// Every controller serves them straight against the state service, so users never wait for an
-/// election. An answer about a job's state is given only when it can't be out of date: final
-/// states never change, and anything else is answered after a read index ("Reads never go back"
-/// in docs/design.md). A request that can't be decided in time gets 503 with `Retry-After`.
+/// election. An answer about a job's state is given only when it can't be out of date ("Reads never
+/// go back" in docs/design.md): ConfirmedStatus says on what knowledge it may rest, and
+/// StatusResponder makes it. A request that can't be decided in time gets 503 with `Retry-After`.
 #pragma once
 
 #include <functional>
@@ -15,6 +15,7 @@
 
 #include "api/admission.hpp"
 #include "api/concurrency_limit.hpp"
+#include "api/status_responder.hpp"
 #include "config/settings.hpp"
 #include "election/read_index.hpp"
 #include "net/http_server.hpp"
@@ -40,7 +41,8 @@
         cancelled_(std::move(cancelled)),
         scope_(queue),
         admission_(settings),
-        limit_(settings.tuning.requests_max) {}
+        limit_(settings.tuning.requests_max),
+        responder_(event_loop, mirror) {}
 
   /// New submissions are answered with 503 until the machine types are known.
   void set_machine_types(const std::vector<wire::MachineType>& machine_types) {
@@ -57,12 +59,17 @@
 
   /// The limit on user requests in progress, with its present value and its counts.
   [[nodiscard]] const ConcurrencyLimit& limit() const { return limit_; }
+  /// How many answers were made, and by what knowledge.
+  [[nodiscard]] const AnswerCounts& answer_counts() const { return responder_.counts(); }
+  /// Logs the counts if they have changed since the last call.
+  void log_answer_counts() { responder_.log_counts(); }
 
  private:
   /// A request in progress.
   struct Call {
     net::Responder respond;
-    double deadline = 0;  ///< seconds on the event loop's steady clock
+    double asked_at = 0;  ///< seconds on the event loop's steady clock
+    double deadline = 0;  ///< seconds on the same clock
     wire::JobSpec spec;   ///< of a submission
     std::string id;       ///< of the job
   };
@@ -76,8 +83,8 @@
   void retry_before_deadline(const CallPtr& call, std::function<void()> again);
 
   // Answers.
-  static void reply_status(const CallPtr& call, int http_status, const wire::JobStatus& status,
-                           wire::TaskCounts counts);
+  void reply_status(const CallPtr& call, int http_status, const ConfirmedStatus& status,
+                    wire::TaskCounts counts);
   static void reply_error(const CallPtr& call, int http_status, std::string_view text);
   static void reply_no_such_job(const CallPtr& call);
   /// 503: the request could not be decided in time, the user should try again.
@@ -97,12 +104,9 @@
                                                                           Call& call);
   void reply_malformed(const CallPtr& call, const wire::DecodeError& error);
   void reply_rejected(const CallPtr& call, RejectionReason reason);
-  static void reply_created(const CallPtr& call);
   /// Records the job, provided that there is no record of its id.
   void create_job(const CallPtr& call);
   void on_create_result(const CallPtr& call, const store::CommitResult& result);
-  /// Reads the job's record after a commit whose outcome is unknown.
-  void confirm_created(const CallPtr& call);
 
   // Cancellations.
   /// Records the cancel mark if the mirror holds the job unfinished and without one.
@@ -124,6 +128,7 @@
   runtime::CommandScope scope_;
   Admission admission_;
   ConcurrencyLimit limit_;
+  StatusResponder responder_;
 };
 
 }  // namespace elmstall::api
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -67,6 +67,11 @@
 /// Jobs. Number of final states that are remembered in memory; older ones are read from the state
 /// store when a user asks.
 inline constexpr std::size_t kFinalCache = 20'000;
+/// Jobs. Number of final states that a controller remembers having told, to withhold an answer that
+/// contradicts one. At some 150 bytes each they take less than 1 MB.
+inline constexpr std::size_t kToldStatesKept = 5'000;
+/// Seconds. How often the numbers of answers are logged.
+inline constexpr double kCountsInterval = 60;
 
 // --- store: sizes of records -------------------------------------------------------------------
 /// Share of a value that is filled with entries. The sizes of entries are estimated by upper
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -279,6 +279,10 @@
   const double now = loop_.now();
   loop_.after(k::kTickInterval, scope_.wrap([this] { tick(); }));
   probe_state_store(now);
+  if (now >= next_counts_) {
+    next_counts_ = now + k::kCountsInterval;
+    user_api_.log_answer_counts();
+  }
   heartbeat_router_.tick();
   election_.consider();
   zone_delegate_.tick(connectivity());
@@ -291,7 +295,7 @@
 void Node::probe_state_store(double now) {
   if (now >= next_probe_) {
     next_probe_ = now + k::kProbeInterval;
-    read_index_.request(k::kProbeInterval, [](bool) {});
+    read_index_.request(k::kProbeInterval, [](const election::LinearizableRead*) {});
   }
   read_index_.check();
 }
--- a/src/controller/node.hpp
+++ b/src/controller/node.hpp
@@ -54,6 +54,8 @@
   [[nodiscard]] bool ready() const;
   /// The leader's state while this node leads, else null.
   [[nodiscard]] Leader* leader() { return leader_.get(); }
+  /// How many answers about jobs this node has made, and by what knowledge.
+  [[nodiscard]] const api::AnswerCounts& answer_counts() const { return user_api_.answer_counts(); }
   /// This node's replica of the records.
   [[nodiscard]] const store::Mirror& mirror() const { return mirror_; }
 
@@ -123,6 +125,7 @@
   std::optional<election::LeadershipRenewal> renewal_;  ///< while this node leads
   double next_peer_heartbeat_ = 0;
   double next_probe_ = 0;
+  double next_counts_ = 0;  ///< when the numbers of answers are logged next
   bool leader_heard_told_ = true;  ///< what the last heartbeat to peers said
 };
 
--- a/src/election/read_index.cpp
+++ b/src/election/read_index.cpp
@@ -49,7 +49,7 @@
       awaiting_mirror_.push_back(std::move(read));
     }
   } else {
-    for (auto& read : reads) read.callback(false);
+    for (auto& read : reads) read.callback(nullptr);
   }
   check();
   send_probe();
@@ -73,7 +73,8 @@
     if (current) current_as_of_ = std::max(current_as_of_.value_or(kFarPast), read.requested_at);
     // The requester no longer waits for a read whose deadline has passed. The process may also have
     // been suspended since the mirror became current, so that the answer would be outdated.
-    read.callback(current && now < read.deadline);
+    const LinearizableRead proof(mirror_.revision());
+    read.callback(current && now < read.deadline ? &proof : nullptr);
   }
 }
 
--- a/src/election/read_index.hpp
+++ b/src/election/read_index.hpp
@@ -27,14 +27,29 @@
 
 namespace elmstall::election {
 
+/// Proof that the mirror held everything that was committed before a read was requested. Only a
+/// ReadIndex makes one. It is valid during the callback that receives it, and can't be kept.
+class LinearizableRead {
+ public:
+  LinearizableRead(const LinearizableRead&) = delete;
+  LinearizableRead& operator=(const LinearizableRead&) = delete;
+  /// The revision that the mirror has reached.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+
+ private:
+  friend class ReadIndex;
+  explicit LinearizableRead(std::uint64_t revision) : revision_(revision) {}
+  std::uint64_t revision_;
+};
+
 /// The read index of one controller. One request to the state store serves all reads that wait
 /// at that time, and successive requests keep a minimum interval. Runs on the controller's
 /// event loop; all times are in seconds, by the clock of that loop.
 class ReadIndex {
  public:
-  /// `current` is true if the mirror holds everything that was committed before the read was
-  /// requested, and false if that could not be shown before the read's deadline.
-  using Callback = std::function<void(bool current)>;
+  /// `read` shows that the mirror holds everything that was committed before the read was
+  /// requested. It is null if that could not be shown before the read's deadline.
+  using Callback = std::function<void(const LinearizableRead* read)>;
 
   /// `min_interval_s`: least time between two requests to the state store.
   ReadIndex(runtime::EventLoop& event_loop, runtime::CommandQueue& queue, store::StateStore& store,
@@ -48,7 +63,7 @@
 
   /// Requests a read index for one read, whose deadline is `patience_s` from now. The deadline
   /// is looked at only once the state store has answered; a request that fails calls back with
-  /// false. The callback is never called from within this function.
+  /// null. The callback is never called from within this function.
   void request(double patience_s, Callback callback);
   /// Calls back the reads that the mirror is current for by now, and those whose deadline has
   /// passed. To be called after every change of the mirror, and at regular intervals.
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -191,17 +191,13 @@
 }
 
 std::optional<FinalRecord> Mirror::final_state(const std::string& id) const {
-  const auto found = finals_.find(id);
-  if (found == finals_.end()) return std::nullopt;
-  return found->second;
+  const auto* found = finals_.find(id);
+  if (found == nullptr) return std::nullopt;
+  return *found;
 }
 
 void Mirror::remember_final(const std::string& id, const FinalRecord& record) {
-  if (finals_.emplace(id, record).second) final_order_.push_back(id);
-  if (final_order_.size() > constants::kFinalCache) {
-    finals_.erase(final_order_.front());
-    final_order_.pop_front();
-  }
+  finals_.remember(id, record);
 }
 
 wire::JobStatus Mirror::status(const std::string& id) const {
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -7,7 +7,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -15,6 +14,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "config/constants.hpp"
+#include "store/recent_jobs.hpp"
 #include "store/records.hpp"
 
 namespace elmstall::store {
@@ -136,8 +137,7 @@
   std::map<std::uint32_t, Slot> slots_;
   bool earlier_layout_ = false;
   std::map<std::string, Delegation> delegations_;
-  std::unordered_map<std::string, FinalRecord> finals_;
-  std::deque<std::string> final_order_;  ///< ids of finals_, the oldest first
+  RecentJobs<FinalRecord> finals_{constants::kFinalCache};
 };
 
 }  // namespace elmstall::store
--- a/tests/support/rules.cpp
+++ b/tests/support/rules.cpp
@@ -12,12 +12,18 @@
   broken_.push_back(rule + ": " + what);
 }
 
+void Rules::note(double now, const std::string& event) const {
+  if (on_event) on_event(now, event);
+}
+
 void Rules::told_accepted(double now, const std::string& id) {
   if (!asked_.contains(id)) fail("invented", id);
   accepted_.try_emplace(id, now);
 }
 
 void Rules::told_status(double now, const std::string& id, JobState state, double asked) {
+  note(now,
+       id + " told " + std::string(wire::to_text(state)) + ", asked at " + std::to_string(asked));
   if (!asked_.contains(id)) fail("invented", id);
   accepted_.try_emplace(id, now);
   if (const auto before = final_.find(id);
@@ -50,6 +56,7 @@
   ++starts_;
   const Task task{job, index};
   const std::string name = wire::task_name(job, index) + " on " + place.machine;
+  note(now, name + " starts");
   auto& places = where_[task];
   if (!places.empty() && !places.contains(place.machine))
     fail("ran_twice", name + " and " + places.begin()->first);
@@ -82,6 +89,7 @@
 void Rules::off_machine(double now, const std::string& job, std::uint32_t index,
                         const std::string& machine) {
   if (where_[{job, index}].erase(machine) == 0) return;
+  note(now, wire::task_name(job, index) + " is off " + machine);
   // To the moment, not to the half second of `check_time`.
   const auto told = cancelled_.find(job);
   if (told != cancelled_.end() && now > told->second + settings_.cancel_s)
--- a/tests/support/rules.hpp
+++ b/tests/support/rules.hpp
@@ -2,6 +2,7 @@
 /// Checks the Rules of the protocol page.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -26,6 +27,9 @@
     bool spot = false;
   };
 
+  /// Called with each event that the checker sees, in words, for a test that keeps a history.
+  std::function<void(double now, const std::string& event)> on_event;
+
   // What users do and hear.
   void submitted(const wire::JobSpec& spec) {
     asked_.insert(spec.id);
@@ -41,6 +45,10 @@
   void told_missing(const std::string& id, double asked);
   void told_refused(const std::string& id);
 
+  /// A controller held back an answer that contradicts an earlier one of its own: no user was told
+  /// anything wrong, but it should not have come to that.
+  void answer_withheld(const std::string& node) { fail("withheld", "an answer of " + node); }
+
   // What happens on machines.
   void on_machine(double now, const std::string& job, std::uint32_t index, const Place& place);
   void off_machine(double now, const std::string& job, std::uint32_t index,
@@ -71,6 +79,7 @@
  private:
   using Task = std::pair<std::string, std::uint32_t>;
   void fail(const std::string& rule, const std::string& what);
+  void note(double now, const std::string& event) const;
 
   const config::Settings& settings_;
   std::map<std::string, wire::JobSpec> specs_;
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -120,6 +120,10 @@
 
 void World::watch_time() {
   rules.check_time(loop.now());
+  for (auto& process : processes.all()) {
+    if (process.node && process.node->answer_counts().withheld > 0)
+      rules.answer_withheld(process.settings.node);
+  }
   loop.after(kRuleCheckInterval, [this] { watch_time(); });
 }
 
