Soak test: real controllers under random faults, checked from outside

Need: the failure came at production size with no logs; the simulated world runs the controllers' code without processes, sockets and time of their own. Users look closely at all controllers. Logs tell what they could not: elections won and lost with term, token and age of the records, each command, deletion and removal at debug level. The simulated state service, now one front for each controller, and the workers' command interface got faults for it; no second copy.

--- a/src/autoscaler/terminations.cpp
+++ b/src/autoscaler/terminations.cpp
@@ -29,6 +29,11 @@
   const auto machine_ids = next_batch();
   if (machine_ids.empty()) return;
   in_flight_ = true;
+  for (const auto& id : machine_ids) {
+    const auto* machine = model_.find_machine(id);
+    spdlog::debug("deletion: machine={} tasks={} last_heard={:.2f}s ago", id, machine->tasks.size(),
+                  now - machine->last_contact);
+  }
   next_request_at_ = now + k::kTerminationInterval;
   cloud_.terminate(machine_ids, scope_.wrap([this, machine_ids](bool confirmed) {
     on_reply(machine_ids, confirmed);
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -199,6 +199,8 @@
   return loop_.now() - read_index_.last_success() < within_s;
 }
 
+double Node::records_age() const { return loop_.now() - read_index_.current_as_of(); }
+
 bool Node::common_outage() const {
   return !state_reachable(k::kUnreadyAfter) && peers_.all_without_state_store();
 }
@@ -260,13 +262,17 @@
                                            [this](const char* reason) { step_down(reason); }},
       candidacy.lease);
   terms_.set(term, settings_.node);
+  spdlog::info("elected: term={} token={} incarnation={} lease={} revision={} records_age={:.2f}s",
+               term, wire::first_token_of_term(term), candidacy.name, candidacy.lease,
+               mirror_.term_revision(), records_age());
   if (!machine_types_.empty()) leader_->set_machine_types(machine_types_);
   send_peer_heartbeat();
 }
 
 void Node::step_down(const char* reason) {
   if (!leader_) return;
-  spdlog::info("no longer leading in term {}: {}", leader_->term(), reason);
+  spdlog::info("no longer leading in term {}: {} (known term={} revision={} records_age={:.2f}s)",
+               leader_->term(), reason, terms_.term(), mirror_.revision(), records_age());
   leader_.reset();
   renewal_.reset();
   election_.resign();
--- a/src/controller/node.hpp
+++ b/src/controller/node.hpp
@@ -83,6 +83,8 @@
   [[nodiscard]] bool leader_heard() const;
   /// Whether the state store has replied within the last `within_s` seconds.
   [[nodiscard]] bool state_reachable(double within_s) const;
+  /// Seconds since the mirror was known to be current, for the log.
+  [[nodiscard]] double records_age() const;
   /// Whether every controller is heard, and the state store replies to none of them.
   [[nodiscard]] bool common_outage() const;
   [[nodiscard]] election::Connectivity connectivity() const;
@@ -125,7 +127,7 @@
   std::optional<election::LeadershipRenewal> renewal_;  ///< while this node leads
   double next_peer_heartbeat_ = 0;
   double next_probe_ = 0;
-  double next_counts_ = 0;  ///< when the numbers of answers are logged next
+  double next_counts_ = 0;         ///< when the numbers of answers are logged next
   bool leader_heard_told_ = true;  ///< what the last heartbeat to peers said
 };
 
--- a/src/dispatch/command_dispatcher.cpp
+++ b/src/dispatch/command_dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/command_dispatcher.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -36,6 +38,18 @@
 
 CommandDispatcher::CommandDispatcher(Context context) : context_(context), scope_(context.queue) {}
 
+void CommandDispatcher::log_commands(const state::Machine& machine,
+                                     const std::vector<wire::WorkerCommand>& commands,
+                                     std::string_view way) const {
+  if (!spdlog::should_log(spdlog::level::debug)) return;
+  for (const auto& command : commands) {
+    spdlog::debug(
+        "command: verb={} task={} attempt={} machine={} by={} token={} records_age={:.2f}s",
+        wire::to_text(command.verb), wire::task_name(command.job, command.index), command.attempt,
+        machine.id, way, context_.fencing.token(machine), context_.lease.age());
+  }
+}
+
 // --- replies to heartbeats ---------------------------------------------------------
 
 void CommandDispatcher::reply(state::Machine& machine, const net::Responder& respond) {
@@ -55,12 +69,14 @@
   if (effect_expected && machine.unacknowledged_since == state::kNever)
     machine.unacknowledged_since = now;
   machine.last_reply = now;
+  log_commands(machine, commands, "heartbeat_reply");
   respond({200, wire::encode_heartbeat_reply(context_.fencing.token(machine), commands), 0});
 }
 
 void CommandDispatcher::reply_to_crossed(state::Machine& machine, const net::Responder& respond) {
   machine.last_reply = context_.event_loop.now();
   const auto commands = CommandComposer::cancellations(machine);
+  log_commands(machine, commands, "heartbeat_reply");
   respond({200, wire::encode_heartbeat_reply(context_.fencing.token(machine), commands), 0});
 }
 
@@ -101,6 +117,7 @@
   // the worker refuses the RPC, and its refusal contains the epoch.
   const std::uint64_t epoch = std::max<std::uint64_t>(1, machine.epoch);
   const bool carried_commands = !commands.empty();
+  log_commands(machine, commands, "rpc");
   context_.worker_rpc.send_commands(
       machine.addr, context_.fencing.token(machine), epoch, commands,
       scope_.wrap([this, id = machine.id, carried_commands](const clients::CommandResult& result) {
--- a/src/dispatch/command_dispatcher.hpp
+++ b/src/dispatch/command_dispatcher.hpp
@@ -55,6 +55,9 @@
   void synchronize_machines();
 
  private:
+  /// Logs which commands were allowed, and on what knowledge, at debug level.
+  void log_commands(const state::Machine& machine, const std::vector<wire::WorkerCommand>& commands,
+                    std::string_view way) const;
   [[nodiscard]] bool rpc_possible(const state::Machine& machine) const;
   [[nodiscard]] static bool needs_synchronization(const state::Machine& machine, double now);
   void start_rpc(state::Machine& machine, const std::vector<wire::WorkerCommand>& commands);
--- a/src/election/leader_lease.hpp
+++ b/src/election/leader_lease.hpp
@@ -38,10 +38,10 @@
   /// the state store does not answer it, so that no controller can have confirmed a cancellation.
   [[nodiscard]] bool may_start_tasks() const;
 
- private:
   /// Seconds since both the term and the copy of the records were known to be current.
   [[nodiscard]] double age() const;
 
+ private:
   const config::Settings& settings_;
   const runtime::EventLoop& loop_;
   const ReadIndex& read_index_;
--- a/src/state/group_commit.cpp
+++ b/src/state/group_commit.cpp
@@ -79,6 +79,8 @@
   const auto found = finalizations_.find(job);
   if (found == finalizations_.end()) return;
   for (auto* block : found->second.blocks) drop(*block);
+  spdlog::debug("job removed: job={} state={} mirror_revision={}", job,
+                wire::to_text(found->second.record.state), mirror_.revision());
   finalizations_.erase(found);
   events_.finished(job);
 }
--- a/src/wire/workers.cpp
+++ b/src/wire/workers.cpp
@@ -94,6 +94,8 @@
 
 }  // namespace
 
+std::string_view to_text(Verb verb) { return name_of(kVerbs, verb); }
+
 std::string encode_heartbeat(const WorkerHeartbeat& heartbeat) {
   Packer packer;
   packer.map(10);
--- a/src/wire/workers.hpp
+++ b/src/wire/workers.hpp
@@ -73,6 +73,8 @@
   stop,  ///< end the task
   clear  ///< omit the ended task from further heartbeats
 };
+/// The protocol's word for the command.
+[[nodiscard]] std::string_view to_text(Verb verb);
 /// One command to a worker.
 struct WorkerCommand {
   Verb verb = Verb::run;      ///< what to do with the task
--- a/tests/e2e_test.cpp
+++ b/tests/e2e_test.cpp
@@ -2,13 +2,14 @@
 /// Whole controllers over loopback: real HTTP, peer network and clients against the
 /// simulations of the state store, cloud and workers.
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include "app/controller_process.hpp"
 #include "config/endpoint.hpp"
 #include "net/http_client.hpp"
 #include "support/http_fronts.hpp"
 #include "support/jobs.hpp"
+#include "support/loopback.hpp"
+#include "support/real_time.hpp"
 
 namespace elmstall::test {
 namespace {
@@ -17,7 +18,7 @@
  protected:
   static constexpr std::size_t kNodes = 3;
 
-  EndToEnd() : world_(5, 0), state_(io_, world_.state), cloud_(io_, world_) {
+  EndToEnd() : world_(5, 0), state_(io_, world_), cloud_(io_, world_) {
     // Short, so that real seconds suffice.
     world_.settings.heartbeat_interval_s = 0.3;
     world_.settings.list_lag_s = 0.2;
@@ -25,9 +26,12 @@
     world_.outside_nodes = kNodes;
     std::vector<std::string> api;
     std::vector<std::string> transport;
-    for (std::size_t i = 0; i < kNodes; ++i) {
-      api.push_back(free_address());
-      transport.push_back(free_address());
+    {
+      LoopbackAddresses addresses(io_);
+      for (std::size_t i = 0; i < kNodes; ++i) {
+        api.push_back(addresses.next());
+        transport.push_back(addresses.next());
+      }
     }
     for (std::size_t i = 0; i < kNodes; ++i) {
       auto settings = world_.settings;
@@ -54,29 +58,6 @@
                                 respond({reply.status == 0 ? 503 : reply.status, reply.body, 0});
                               });
     };
-    step();
-  }
-
-  /// A port that was free a moment ago.
-  /// An address that nothing else binds to. The controller binds to it some time after it
-  /// was found free, and tests run in parallel: on 127.0.0.1 another process once took the
-  /// port in between. So the host part is this process's own, within the loopback range.
-  std::string free_address() {
-    const auto pid = static_cast<unsigned>(::getpid());
-    const auto host = "127." + std::to_string(1 + (pid >> 16) % 250) + "." +
-                      std::to_string((pid >> 8) % 256) + "." + std::to_string(pid % 256);
-    const asio::ip::tcp::acceptor probe(io_, {asio::ip::make_address(host), 0});
-    return host + ":" + std::to_string(probe.local_endpoint().port());
-  }
-
-  /// Lets virtual time pass with real time.
-  void step() {
-    const auto now = std::chrono::steady_clock::now();
-    world_.loop.run_until(std::chrono::duration<double>(now - started_).count());
-    sequence_.expires_after(std::chrono::milliseconds(5));
-    sequence_.async_wait([this](asio::error_code error) {
-      if (!error) step();
-    });
   }
 
   net::Reply ask(std::size_t node, const std::string& method, const std::string& path,
@@ -120,9 +101,8 @@
   }
 
   asio::io_context io_;
-  std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
-  asio::steady_timer sequence_{io_};
   World world_;
+  RealTime real_time_{io_, world_.loop};
   StateFront state_;
   CloudFront cloud_;
   std::vector<config::Settings> settings_;
--- /dev/null
+++ b/tests/soak/run.hpp
@@ -0,0 +1,64 @@
+/// \file
+/// One run of the soak test: one seed, from the start of the controllers to the verdict.
+#pragma once
+
+#include <asio.hpp>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "soak/site.hpp"
+
+namespace elmstall::soak {
+
+/// What a run showed.
+struct RunResult {
+  /// What was broken, the first first: a rule of the protocol page, or `exited`, `withheld`
+  /// (a controller held back a contradicting answer) or `unanswered` (75 s after the faults).
+  std::vector<std::string> broken;
+  std::string not_run;  ///< why the run could not be made; empty if it was
+  bool interrupted = false;
+  std::size_t jobs = 0;      ///< accepted jobs
+  std::size_t finished = 0;  ///< of those, called done
+  std::size_t starts = 0;    ///< starts of tasks
+  std::size_t faults = 0;    ///< faults that were begun
+};
+
+/// Plays one seed. What users and workers saw is written to `history` in the folder, with the plan.
+class Run {
+ public:
+  Run(const Options& options, unsigned seed, const std::filesystem::path& folder);
+  /// Plays until the verdict, or until SIGINT or SIGTERM.
+  [[nodiscard]] RunResult play();
+
+ private:
+  void write_plan(const Options& options, unsigned seed);
+  /// Lets the run go on until `end`, in seconds since the start; false if it must stop.
+  bool run_until(double end);
+  /// Waits until a controller is ready; false if it must stop.
+  bool wait_until_ready();
+  void submit_base_load();
+  void submit_next_job();
+  /// Users submit, cancel and ask until `end`.
+  void keep_users_busy(double end);
+  /// After the faults: every accepted job must be answered for in time.
+  void settle();
+  [[nodiscard]] std::vector<std::string> jobs_without_answer_since(double begin);
+  void check_controllers();
+  void search_logs();
+  [[nodiscard]] double now() { return site_.world().loop.now(); }
+
+  Options options_;
+  std::filesystem::path folder_;
+  asio::io_context io_;
+  asio::signal_set signals_{io_, SIGINT, SIGTERM};
+  Site site_;
+  std::vector<PlannedFault> plan_;
+  std::ofstream history_;
+  RunResult result_;
+  int jobs_submitted_ = 0;
+  bool started_ = false;  ///< the controllers were ready once
+};
+
+}  // namespace elmstall::soak
--- a/tests/support/http_fronts.cpp
+++ b/tests/support/http_fronts.cpp
@@ -105,27 +105,43 @@
 
 }  // namespace
 
-StateFront::StateFront(asio::io_context& io, FakeState& state)
+StateFront::StateFront(asio::io_context& io, World& world)
     : io_(io),
-      state_(state),
+      world_(world),
+      state_(world.state),
       server_(io, config::parse_endpoint("127.0.0.1:0"), kLimits,
               [this](const net::Request& request, net::Responder respond) {
                 handle(request, std::move(respond));
               }) {}
 
+void StateFront::after(double seconds, std::function<void()> fn) {
+  const auto delay = std::chrono::microseconds(static_cast<long>(seconds * 1e6));
+  auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+  timer->async_wait([timer, fn = std::move(fn)](asio::error_code error) {
+    if (!error) fn();
+  });
+}
+
 void StateFront::handle(const net::Request& request, net::Responder respond) {
+  if (faults.slow_s <= 0 || request.path.starts_with("/follow"))
+    return execute(request, std::move(respond));
+  after(faults.slow_s * world_.random(),
+        [this, request, respond = std::move(respond)] { execute(request, respond); });
+}
+
+void StateFront::execute(const net::Request& request, net::Responder respond) {
   const auto& path = request.path;
-  if (state_.down) return respond({503, {}, 0});
   if (path.starts_with("/follow")) {
     return follow(parameter(path, "under"), std::stoull(parameter(path, "since")),
                   std::stod(parameter(path, "hold_ms")) / 1000, std::move(respond));
   }
-  if (path.starts_with("/kv?"))
-    return respond(
-        answer_list(state_.list(parameter(path, "under"), parameter(path, "since"), 1000).listing));
+  if (state_.down || faults.refused) return respond({503, {}, 0});
+  if (path.starts_with("/kv?")) {
+    return respond(answer_list(
+        state_.list(parameter(path, "under"), parameter(path, "since"), page_size).listing));
+  }
   if (path.starts_with("/kv/")) return respond(answer_get(state_.get(path.substr(4))));
-  if (path == "/commit")
-    return respond(answer_commit(state_.commit(decode_transaction(request.body))));
+  if (path == "/commit") return commit(request, respond);
   if (path == "/grants") {
     const auto document = wire::Document::parse(request.body);
     wire::Packer packer;
@@ -137,17 +153,40 @@
   respond({400, {}, 0});
 }
 
+void StateFront::commit(const net::Request& request, const net::Responder& respond) {
+  auto transaction = decode_transaction(request.body);
+  const double draw = world_.random();
+  if (draw < faults.late) {
+    constexpr double least_s = 2;
+    constexpr double most_s = 6;
+    return after(least_s + (most_s - least_s) * world_.random(),
+                 [this, transaction = std::move(transaction)] {
+                   if (!state_.down) (void)state_.commit(transaction);
+                 });
+  }
+  const auto result = state_.commit(transaction);
+  if (draw < faults.late + faults.unanswered) return;
+  respond(answer_commit(result));
+}
+
 void StateFront::follow(const std::string& prefix, std::uint64_t since, double left_s,
                         net::Responder respond) {
-  const auto changes = state_.changes(prefix, since);
-  if (!changes) return respond({410, {}, 0});
-  if (!changes->log.empty() || left_s <= 0) return respond(answer_changes(*changes));
   constexpr double step = 0.01;
-  auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(10));
-  timer->async_wait(
-      [this, timer, prefix, since, left_s, respond = std::move(respond)](asio::error_code error) {
-        if (!error) follow(prefix, since, left_s - step, respond);
+  const bool silent = state_.down || faults.refused;  // open watches wait
+  if (!silent) {
+    const auto changes = state_.changes(prefix, since);
+    if (!changes) return respond({410, {}, 0});
+    if (!changes->log.empty() || left_s <= 0) {
+      return after(faults.watch_lag_s, [respond = std::move(respond), changes = *changes] {
+        respond(answer_changes(changes));
       });
+    }
+  } else if (left_s <= 0) {
+    return respond({503, {}, 0});
+  }
+  after(step, [this, prefix, since, left_s, respond = std::move(respond)] {
+    follow(prefix, since, left_s - step, respond);
+  });
 }
 
 CloudFront::CloudFront(asio::io_context& io, World& world)
@@ -161,7 +200,7 @@
   if (request.path == "/flavors")
     return respond({200, wire::encode_machine_types(world_.machine_types), 0});
   if (request.method == "GET") {
-    return world_.cloud.list("", [respond](const std::optional<wire::CloudPage>& page) {
+    return world_.cloud.list("", [respond, this](const std::optional<wire::CloudPage>& page) {
       if (!page) return respond({503, {}, 0});
       wire::Packer packer;
       packer.map(2).key("truncated").flag(false).key("hosts").list(page->machines.size());
@@ -170,7 +209,7 @@
             .key("uid")
             .text(machine.id)
             .key("addr")
-            .text("127.0.0.1:1")
+            .text(world_.worker_address ? world_.worker_address(machine.id) : "127.0.0.1:1")
             .key("build")
             .text(machine.type)
             .key("yard")
@@ -201,4 +240,38 @@
       });
 }
 
+std::string WorkerFronts::address_of(const std::string& machine) {
+  auto& server = servers_[machine];
+  if (!server) {
+    server = std::make_unique<net::HttpServer>(
+        io_, config::parse_endpoint("127.0.0.1:0"), kLimits,
+        [this, machine](const net::Request& request, const net::Responder& respond) {
+          handle(machine, request, respond);
+        });
+  }
+  return "127.0.0.1:" + std::to_string(server->port());
+}
+
+void WorkerFronts::handle(const std::string& machine, const net::Request& request,
+                          const net::Responder& respond) {
+  const auto found = world_.workers.find(machine);
+  if (found == world_.workers.end() || request.path != "/orders") return respond({404, {}, 0});
+  auto* worker = found->second.get();
+  const auto execute = [worker, body = request.body]() -> std::optional<net::Response> {
+    if (worker->dead()) return std::nullopt;
+    const auto document = wire::Document::parse(body);
+    const auto envelope = wire::decode_commands(document.root());
+    const auto result = worker->on_command_rpc(envelope.token, envelope.epoch, envelope.commands);
+    const bool done = result.outcome == clients::CommandResult::Outcome::done;
+    return net::Response{done ? 200 : 409, wire::encode_heartbeat(*result.heartbeat), 0};
+  };
+  // Without a reply the caller can't tell whether the commands are executed, or will be.
+  if (worker->dead() || worker->cut || worker->responses_dropped) return;
+  if (worker->hung()) return world_.loop.at(worker->hung_until(), [execute] { (void)execute(); });
+  if (world_.network.command_delay_s > 0)
+    return world_.loop.after(world_.network.command_delay_s, [execute] { (void)execute(); });
+  const auto response = execute();
+  if (response && !world_.network.command_replies_lost) respond(*response);
+}
+
 }  // namespace elmstall::test
--- a/tests/support/http_fronts.hpp
+++ b/tests/support/http_fronts.hpp
@@ -3,23 +3,44 @@
 #pragma once
 
 #include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
 
 #include "net/http_server.hpp"
 #include "support/world.hpp"
 
 namespace elmstall::test {
 
-/// Serves the API of the state store from a `FakeState`. Runs on the loop of `io`.
+/// Serves the API of the state store from a `FakeState`. Runs on the loop of `io`. Several may
+/// serve the same state, each with faults of its own.
 class StateFront {
  public:
-  StateFront(asio::io_context& io, FakeState& state);
+  /// What goes wrong between this front and its clients.
+  struct Faults {
+    bool refused = false;    ///< every request is answered 503, and open watches see no changes
+    double slow_s = 0;       ///< at most so many seconds are added before a request is executed
+    double unanswered = 0;   ///< share of transactions that are executed and never answered
+    double late = 0;         ///< share of transactions that are executed seconds later, unanswered
+    double watch_lag_s = 0;  ///< watches report changes so many seconds later
+  };
+  StateFront(asio::io_context& io, World& world);
   [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+  Faults faults;
+  /// Entries in a page of a listing; the protocol's limit unless a test wants more pages.
+  std::size_t page_size = 1000;
 
  private:
   void handle(const net::Request& request, net::Responder respond);
+  void execute(const net::Request& request, net::Responder respond);
+  void commit(const net::Request& request, const net::Responder& respond);
   void follow(const std::string& prefix, std::uint64_t since, double left_s,
               net::Responder respond);
+  /// Calls `fn` after so many seconds of real time.
+  void after(double seconds, std::function<void()> fn);
   asio::io_context& io_;
+  World& world_;
   FakeState& state_;
   net::HttpServer server_;
 };
@@ -36,4 +57,20 @@
   net::HttpServer server_;
 };
 
+/// Serves the command interface of the machines of a world, each at an address of its own. The
+/// world's network faults and those of the workers apply. Runs on the loop of `io`.
+class WorkerFronts {
+ public:
+  WorkerFronts(asio::io_context& io, World& world) : io_(io), world_(world) {}
+  /// The address of the machine; it is served from the first call on.
+  [[nodiscard]] std::string address_of(const std::string& machine);
+
+ private:
+  void handle(const std::string& machine, const net::Request& request,
+              const net::Responder& respond);
+  asio::io_context& io_;
+  World& world_;
+  std::map<std::string, std::unique_ptr<net::HttpServer>> servers_;
+};
+
 }  // namespace elmstall::test
--- a/tests/support/worker.cpp
+++ b/tests/support/worker.cpp
@@ -107,7 +107,8 @@
 }
 
 wire::WorkerHeartbeat FakeWorker::compose() {
-  wire::WorkerHeartbeat heartbeat{id_,    id_,         type_,  zone_,        spot_,
+  const auto address = world_.worker_address ? world_.worker_address(id_) : id_;
+  wire::WorkerHeartbeat heartbeat{id_,    address,     type_,  zone_,        spot_,
                                   epoch_, ++sequence_, token_, std::nullopt, {}};
   if (interruption_at)
     heartbeat.interruption_in_s = std::max(0.0, *interruption_at - world_.loop.now());
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -127,6 +127,8 @@
   /// Set by tests that run their own controllers: requests of workers go there.
   std::function<void(std::size_t node, net::Request, net::Responder)> outside_delivery;
   std::size_t outside_nodes = 0;  ///< number of those controllers
+  /// Set by tests with real connections: the address at which a machine's worker takes commands.
+  std::function<std::string(const std::string& machine)> worker_address;
   /// Called when the last task of a job has just ended on its machine.
   std::function<void(const std::string& job)> on_last_task;
   /// Called when a machine has executed a command RPC, before it replies.
