--- a/src/api/confirmed_status.cpp
+++ b/src/api/confirmed_status.cpp
@@ -37,7 +37,7 @@
 std::optional<ConfirmedStatus> ConfirmedStatus::of_current_mirror(
     const election::LinearizableRead& read, const store::Mirror& mirror, const std::string& job) {
   if (auto final_status = of_final_record(mirror, job)) return final_status;
-  if (mirror.job(job) == nullptr) return std::nullopt;
+  if (mirror.job(job) == nullptr || mirror.unreadable_job(job)) return std::nullopt;
   return ConfirmedStatus(mirror.status(job), StatusSource::read_index, read.revision());
 }
 
--- a/src/api/confirmed_status.hpp
+++ b/src/api/confirmed_status.hpp
@@ -53,7 +53,8 @@
   /// only be `cancelled` (rule 8).
   [[nodiscard]] static std::optional<ConfirmedStatus> of_cancel_mark(const store::Mirror& mirror,
                                                                      const std::string& job);
-  /// The state of a job that the mirror holds, live or final. Nothing if it does not hold it.
+  /// The state of a job that the mirror holds, live or final. Nothing if it does not hold it,
+  /// or not as it is now because its record can't be decoded.
   [[nodiscard]] static std::optional<ConfirmedStatus> of_current_mirror(
       const election::LinearizableRead& read, const store::Mirror& mirror, const std::string& job);
   /// `queued`: the transaction created the job. Nothing if its answer took so long that the mirror
--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -72,13 +72,23 @@
   read_index_.request(
       call->deadline - loop_.now(), [this, call, counts, otherwise = std::move(otherwise)](
                                         const election::LinearizableRead* read) {
-        if (read == nullptr) return reply_unavailable(call);
+        if (read == nullptr || mirror_.unreadable_job(call->id)) return reply_unavailable(call);
         if (const auto status = ConfirmedStatus::of_current_mirror(*read, mirror_, call->id))
           return reply_status(call, kOk, *status, counts);
         reply_if_final(call, counts, otherwise);
       });
 }
 
+bool UserApi::remember_final(const std::string& id, const std::string& packed) {
+  try {
+    mirror_.remember_final(id, store::decode_final(packed));
+    return true;
+  } catch (const wire::DecodeError& error) {
+    spdlog::error("the final record of job {} can't be read: {}", id, error.what());
+    return false;
+  }
+}
+
 void UserApi::reply_if_final(const CallPtr& call, wire::TaskCounts counts,
                              std::function<void()> otherwise) {
   // The mirror remembers a limited number of final states, and none of those that were written
@@ -87,8 +97,8 @@
              scope_.wrap([this, call, counts,
                           otherwise = std::move(otherwise)](const store::GetResult& result) {
                if (result.outcome == Outcome::missing) return otherwise();
-               if (result.outcome != Outcome::ok) return reply_unavailable(call);
-               mirror_.remember_final(call->id, store::decode_final(result.entry.value));
+               if (result.outcome != Outcome::ok || !remember_final(call->id, result.entry.value))
+                 return reply_unavailable(call);
                const auto status = ConfirmedStatus::of_final_record(mirror_, call->id);
                reply_status(call, kOk, status.value(), counts);
              }));
--- a/src/api/user_api.hpp
+++ b/src/api/user_api.hpp
@@ -97,6 +97,10 @@
   void reply_if_final(const CallPtr& call, wire::TaskCounts counts,
                       std::function<void()> otherwise);
 
+  /// Adds a final record that was read from the state service to the mirror. False if it can't be
+  /// decoded.
+  [[nodiscard]] bool remember_final(const std::string& id, const std::string& packed);
+
   // Submissions.
   /// Reads the submission into the call. Returns the error of a malformed one, whose id is set
   /// all the same if that much could be read.
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -27,6 +27,7 @@
   types_.reset();
   jobs_.clear();
   cancelled_.clear();
+  unreadable_jobs_.clear();
   blocks_.clear();
   machines_.clear();
   slots_.clear();
@@ -96,10 +97,12 @@
     // A record that can't be decoded must not end the process: it would meet the same record
     // again after its restart.
     spdlog::error("a record of the state service is skipped: {}", error.what());
+    if (key.kind == Key::Kind::job) unreadable_jobs_.insert(key.id);
   }
 }
 
 void Mirror::put_job(const std::string& id, JobRecord record, std::uint64_t mod_revision) {
+  unreadable_jobs_.erase(id);
   if (record.cancelled) cancelled_.insert(id);
   jobs_[id] = {std::move(record), mod_revision};
 }
@@ -169,6 +172,7 @@
       break;
     case Key::Kind::job:
       jobs_.erase(key.id);
+      unreadable_jobs_.erase(key.id);
       cancelled_.erase(key.id);
       if (loaded()) blocks_.erase(key.id);
       break;
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -72,6 +72,11 @@
   /// The revision up to which the mirror has seen all changes.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+  /// Whether the present record of the job can't be decoded. The mirror then knows at most an older
+  /// state of the job, so nothing may be told of it.
+  [[nodiscard]] bool unreadable_job(const std::string& id) const {
+    return unreadable_jobs_.contains(id);
+  }
   /// The unfinished job with this id, or null.
   [[nodiscard]] const Job* job(const std::string& id) const;
   /// All unfinished jobs, by id.
@@ -137,6 +142,7 @@
   std::map<std::uint32_t, Slot> slots_;
   bool earlier_layout_ = false;
   std::map<std::string, Delegation> delegations_;
+  std::set<std::string> unreadable_jobs_;
   RecentJobs<FinalRecord> finals_{constants::kFinalCache};
 };
 
--- a/tests/answer_order_test.cpp
+++ b/tests/answer_order_test.cpp
@@ -74,6 +74,47 @@
   expect_nothing_but_cancelled(ask_lagging(submit_request(rejected)));
 }
 
+/// The record of a job changes to something that no controller can decode. The former record is not
+/// the present one, whatever revision the mirror has reached.
+class UnreadableRecords : public ::testing::Test {
+ protected:
+  void store_value(const std::string& key, const std::string& value) {
+    const auto present = world_.state.get(key);
+    const auto revision =
+        present.outcome == store::Outcome::ok ? present.entry.mod_revision : std::uint64_t{0};
+    ASSERT_EQ(world_.state.commit({{{key, revision}}, {{key, value, 0}}}).outcome,
+              store::Outcome::ok);
+    world_.run_for(1);
+  }
+  static std::string unreadable() { return wire::Packer().map(0).take(); }
+  int status_of(const net::Request& request) {
+    const auto response = world_.response_of(1, request, 6);
+    return response ? response->status : 0;
+  }
+
+  World world_{4200};
+};
+
+TEST_F(UnreadableRecords, AJobIsNotAnsweredForUntilItsRecordCanBeRead) {
+  const auto job = array(1, 2, 3000);
+  world_.run_until(10);
+  world_.submit(job);
+  world_.run_for(20);
+  const auto key = store::job_key(job.id);
+  const auto readable = world_.state.get(key).entry.value;
+  store_value(key, unreadable());
+  EXPECT_EQ(status_of(status_request(job.id)), 503);
+  EXPECT_EQ(status_of(submit_request(job)), 503);
+  store_value(key, readable);
+  EXPECT_EQ(status_of(status_request(job.id)), 200);
+}
+
+TEST_F(UnreadableRecords, AFinalRecordDoesNotEndTheController) {
+  world_.run_until(10);
+  store_value(store::final_key("job-9"), unreadable());
+  EXPECT_EQ(status_of(status_request("job-9")), 503);
+}
+
 /// Random histories in which users look closely, and in which answers of the state store get lost,
 /// writes are applied late, watches lag, and controllers stand still, end and change the lead.
 class CloseLooks : public ::testing::Test {
