--- /dev/null
+++ b/tests/read_index_test.cpp
@@ -0,0 +1,73 @@
+/// \file
+/// What a read index vouches for.
+#include "election/read_index.hpp"
+
+#include <gtest/gtest.h>
+
+#include "support/fake_state.hpp"
+
+namespace elmstall::election {
+namespace {
+
+class ReadIndexTest : public ::testing::Test {
+ protected:
+  /// How a read ended; nothing while it waits.
+  enum class End { current, not_shown };
+
+  void request(double patience_s) {
+    read_index_.request(patience_s, [this](const LinearizableRead* read) {
+      end_ = read == nullptr ? End::not_shown : End::current;
+    });
+  }
+  void run_for(double seconds) {
+    time_.run_until(time_.now() + seconds);
+    read_index_.check();
+  }
+
+  test::VirtualLoop time_;
+  test::VirtualEventLoop loop_{time_, 1};
+  runtime::CommandQueue queue_{loop_, [] {}};
+  test::FakeState state_{time_};
+  test::FakeStore store_{time_, state_, 1};
+  store::Mirror mirror_;
+  ReadIndex read_index_{loop_, queue_, store_, mirror_, 0.1};
+  std::optional<End> end_;
+};
+
+/// What the mirror has not listed yet is not missing.
+TEST_F(ReadIndexTest, WaitsUntilAMirrorThatIsBeingLoadedIsComplete) {
+  mirror_.load({{}, true, state_.revision()});
+  request(5);
+  run_for(1);
+  EXPECT_FALSE(end_) << "more pages follow";
+  mirror_.load({{}, false, state_.revision()});
+  run_for(0.1);
+  EXPECT_EQ(end_, End::current);
+}
+
+TEST_F(ReadIndexTest, WaitsUntilTheMirrorHasReachedTheRevision) {
+  mirror_.load({{}, false, state_.revision()});
+  (void)state_.commit({{}, {{"elm/x", wire::Packer().integer(1).take(), 0}}});
+  request(5);
+  run_for(1);
+  EXPECT_FALSE(end_) << "the mirror lacks the change";
+  mirror_.apply({state_.revision(), {}});
+  run_for(0.1);
+  EXPECT_EQ(end_, End::current);
+}
+
+/// Also when the mirror becomes current in the same moment, as after a suspension of the process.
+TEST_F(ReadIndexTest, ShowsNothingAfterItsDeadline) {
+  request(1);
+  run_for(2);
+  EXPECT_EQ(end_, End::not_shown);
+  end_.reset();
+  request(1);
+  time_.run_until(time_.now() + 2);
+  mirror_.load({{}, false, state_.revision()});
+  read_index_.check();
+  EXPECT_EQ(end_, End::not_shown);
+}
+
+}  // namespace
+}  // namespace elmstall::election
