--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -675,6 +675,13 @@
   const std::string& id() const { return id_; }
   /// Whether the task is on the machine: it has its image and has not ended.
   bool has(const std::string& shard);
+  /// The machine loses the network, or has it again. Its messages are held meanwhile.
+  void cut(bool lost) { cut_ = lost; }
+  /// The first report that was held by the present or last cut; empty without one.
+  std::string held_report() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return held_;
+  }
 
  private:
   struct Task {
@@ -700,7 +707,8 @@
   bool changed_ = false;
   std::map<Key, Task> tasks_;
   std::set<std::string> images_;
-  std::atomic<bool> ended_{false};
+  std::atomic<bool> ended_{false}, cut_{false};
+  std::string held_;
   Server server_;
 };
 
@@ -718,6 +726,9 @@
   Value builds;                                // answer of /flavors
   std::map<std::string, Value> build_by_name;  // by name
   std::vector<std::string> broken;             // rules seen broken at the workers
+  /// Called after a task was told to stop, before anybody hears of its end. True: the machine loses
+  /// the network at this moment.
+  std::function<bool(const std::string& host, const std::string& shard)> on_kill;
   std::atomic<int> starts{0};
 
   World()
@@ -994,7 +1005,8 @@
 }
 
 inline Reply Worker::handle(const std::string& path, const std::string& body) {
-  std::lock_guard<std::mutex> lock(mutex_);
+  while (cut_ && !ended_) sleep_s(0.02);
+  std::unique_lock<std::mutex> lock(mutex_);
   if (path == "/status") return {200, packed(report())};
   if (path != "/orders") return {404, {}};
   const auto request = unpacked(body);
@@ -1004,7 +1016,16 @@
   if (request.num("baton") > baton_) changed_ = true;
   baton_ = request.num("baton");
   execute(request.items("orders"), "directly");
-  return {200, packed(report())};
+  const Reply reply{200, packed(report())};
+  lock.unlock();
+  for (const auto& order : request.items("orders")) {
+    if (order.str("verb") != "kill" || !world_.on_kill || !world_.on_kill(id_, order.str("shard")))
+      continue;
+    cut(true);
+    while (cut_ && !ended_) sleep_s(0.02);
+    return {};  // the other side has given up meanwhile
+  }
+  return reply;
 }
 
 inline void Worker::report_loop() {
@@ -1025,11 +1046,21 @@
       body = packed(report());
     }
     const double sent = now();
-    const auto reply = client->request("POST", "/v1/report", body, 4);
+    Reply reply;
+    if (cut_) {
+      {
+        std::lock_guard<std::mutex> lock(mutex_);
+        if (held_.empty()) held_ = body;
+      }
+      while (cut_ && !ended_ && now() < sent + 4) sleep_s(0.02);
+    } else {
+      reply = client->request("POST", "/v1/report", body, 4);
+      if (cut_) reply = {};  // its answer is held
+    }
     double wait = 0;
     if (reply.status == 200) {
       const auto answer = unpacked(reply.body);
-      std::lock_guard<std::mutex> lock(mutex_);
+      std::unique_lock<std::mutex> lock(mutex_);
       if (session == shift_ && answer.find("baton") != nullptr && answer.num("baton") >= baton_) {
         if (answer.num("baton") > baton_ &&
             now() - token_reported_at_ > world_.rates.lease_s / 2) {
@@ -1038,7 +1069,13 @@
         }
         baton_ = answer.num("baton");
         lease_from_ = std::max(lease_from_, sent);
-        execute(answer.items("orders"), ("by " + world_.node_names[node] + " in answer to its report").c_str());
+        execute(answer.items("orders"),
+                ("by " + world_.node_names[node] + " in answer to its report").c_str());
+        lock.unlock();
+        for (const auto& order : answer.items("orders"))
+          if (order.str("verb") == "kill" && world_.on_kill &&
+              world_.on_kill(id_, order.str("shard")))
+            cut(true);
       }
       wait = world_.rates.report_s * (0.75 + 0.5 * random01());
     } else if (reply.status == 421) {
