A task that needs nothing no longer stops the leader: tasks are counted

Cause: to choose a zone, the need of one task was subtracted from a machine's room for as long as it fitted. A need of nothing, or one lost in rounding, fits for ever, in each next leader too. Nothing but the amounts bounded the number of tasks of a machine.

Change: the number of tasks is one of the amounts, 400 a machine and 200 for tasks with hardly any needs; the zone's room is divided, not subtracted. No job is refused that was accepted before; records and messages are the same.

--- a/src/api/admission.cpp
+++ b/src/api/admission.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 sched::Amount need_of_task(const wire::JobSpec& spec) {
-  return {spec.cpus, spec.gpus, spec.memory_gb};
+  return sched::need_of_task(spec.cpus, spec.gpus, spec.memory_gb);
 }
 
 bool contains(const std::vector<std::string>& names, const std::string& name) {
@@ -74,11 +74,12 @@
 
 bool Admission::task_fits_some_machine_type(const wire::JobSpec& spec) const {
   const auto need = need_of_task(spec);
-  return std::any_of(
-      machine_types_.begin(), machine_types_.end(), [&](const wire::MachineType& machine_type) {
-        return allows(spec, machine_type) &&
-               need.fits({machine_type.cpus, machine_type.gpus, machine_type.memory_gb});
-      });
+  return std::any_of(machine_types_.begin(), machine_types_.end(),
+                     [&](const wire::MachineType& machine_type) {
+                       return allows(spec, machine_type) &&
+                              need.fits(sched::capacity_of_machine(
+                                  machine_type.cpus, machine_type.gpus, machine_type.memory_gb));
+                     });
 }
 
 std::optional<RejectionReason> Admission::check_record_size(const wire::JobSpec& spec,
--- a/src/autoscaler/task_packing.cpp
+++ b/src/autoscaler/task_packing.cpp
@@ -5,7 +5,7 @@
 namespace elmstall::autoscaler {
 
 sched::Amount capacity_of(const wire::MachineType& machine_type) {
-  return {machine_type.cpus, machine_type.gpus, machine_type.memory_gb};
+  return sched::capacity_of_machine(machine_type.cpus, machine_type.gpus, machine_type.memory_gb);
 }
 
 std::optional<double> tasks_per_machine(const sched::Amount& task_need,
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -250,6 +250,18 @@
 /// Seconds. Longest pause before a failed task is retried.
 inline constexpr double kErrorBackoffMax = 60.0;
 
+// --- tasks of one machine ----------------------------------------------------------------------
+/// Tasks. Largest number of tasks that are placed on one machine, and that its heartbeat may list,
+/// exited ones included, when another one is started. A task takes 140 bytes of a heartbeat at
+/// most, and no heartbeat may be larger than 64 KiB.
+inline constexpr double kMaxTasksPerMachine = 400;
+/// Tasks. The same for small tasks alone, so that they leave places for others.
+inline constexpr double kMaxSmallTasksPerMachine = 200;
+/// Cores, GPUs and GB. A task that needs less than this of each is small.
+inline constexpr double kSmallTaskCpus = 0.05;
+inline constexpr double kSmallTaskGpus = 0.05;
+inline constexpr double kSmallTaskMemory = 0.05;
+
 // --- dispatch: commands for a worker -----------------------------------------------------------
 /// Commands. Largest number of commands in one message, which keeps it far below 64 KiB.
 inline constexpr std::size_t kMaxCommands = 200;
--- a/src/dispatch/command_composer.cpp
+++ b/src/dispatch/command_composer.cpp
@@ -64,6 +64,14 @@
       });
 }
 
+std::size_t CommandComposer::listed_tasks(const state::Machine& machine) {
+  const auto recorded =
+      std::count_if(machine.tasks.begin(), machine.tasks.end(),
+                    [](const state::Task* task) { return task->in_last_heartbeat(); });
+  return static_cast<std::size_t>(recorded) + machine.unrecorded_tasks.size() +
+         machine.exited.size();
+}
+
 std::vector<wire::WorkerCommand> CommandComposer::compose(state::Machine& machine, double now,
                                                           bool may_start_tasks) {
   Commands commands = cancellations(machine);
@@ -72,14 +80,16 @@
     commands.push_back({Verb::stop, unrecorded.job, unrecorded.index, unrecorded.attempt, 0});
   }
   add_clears(machine, commands);
+  auto listed = static_cast<double>(listed_tasks(machine));
   for (auto* task : machine.tasks) {
     if (commands.size() >= k::kMaxCommands) break;
     if (!task->may_be_on_machine() || task->job->cancelled) continue;
     if (task->is_stopping()) {
       add_stop(*task, now, commands);
-    } else if (may_start_tasks && run_due(*task, machine)) {
+    } else if (may_start_tasks && listed < k::kMaxTasksPerMachine && run_due(*task, machine)) {
       commands.push_back({Verb::run, task->job->id, task->index, task->attempt(), 0});
       task->mark_run_sent();
+      ++listed;
     }
   }
   return commands;
--- a/src/dispatch/command_composer.hpp
+++ b/src/dispatch/command_composer.hpp
@@ -33,6 +33,8 @@
 
   void add_clears(const state::Machine& machine, Commands& commands);
   static void add_stop(state::Task& task, double now, Commands& commands);
+  /// The number of tasks that the machine's last heartbeat lists.
+  [[nodiscard]] static std::size_t listed_tasks(const state::Machine& machine);
   /// Whether a command to run the task may be sent to the machine now (rule 1).
   [[nodiscard]] bool run_due(const state::Task& task, const state::Machine& machine);
   [[nodiscard]] bool may_clear(const state::TaskAttempt& exited);
--- a/src/placement/direct_placement.cpp
+++ b/src/placement/direct_placement.cpp
@@ -91,10 +91,7 @@
     for (const auto* task : machine->tasks) {
       if (may_preempt(job, *task)) room += task->job->need;
     }
-    while (job.need.fits(room)) {
-      room -= job.need;
-      ++slots_by_zone[machine->zone];
-    }
+    slots_by_zone[machine->zone] += sched::slots_in(room, job.need);
   }
   const auto best =
       std::max_element(slots_by_zone.begin(), slots_by_zone.end(),
--- a/src/sched/resources.hpp
+++ b/src/sched/resources.hpp
@@ -9,21 +9,30 @@
 #include <map>
 #include <string>
 
+#include "config/constants.hpp"
 #include "config/settings.hpp"
 
 namespace elmstall::sched {
 
 /// An amount of each resource. Each resource is called a dimension below.
+///
+/// The number of tasks is a dimension too: tasks may need hardly anything, or nothing, of the
+/// others, and how many of them one machine can run is limited all the same. Small tasks are
+/// counted once more, so that they leave places for others.
 struct Amount {
-  double cpus = 0;       ///< processor cores
-  double gpus = 0;       ///< graphics processors
-  double memory_gb = 0;  ///< main memory, GB
+  double cpus = 0;         ///< processor cores
+  double gpus = 0;         ///< graphics processors
+  double memory_gb = 0;    ///< main memory, GB
+  double tasks = 0;        ///< number of tasks of any size
+  double small_tasks = 0;  ///< number of tasks that need hardly anything of the above
 
   /// Adds in each dimension.
   Amount& operator+=(const Amount& other) {
     cpus += other.cpus;
     gpus += other.gpus;
     memory_gb += other.memory_gb;
+    tasks += other.tasks;
+    small_tasks += other.small_tasks;
     return *this;
   }
   /// Subtracts in each dimension; the result may be negative.
@@ -34,7 +43,8 @@
   friend Amount operator-(Amount a, const Amount& b) { return a -= b; }
   /// Every dimension times the factor.
   friend Amount operator*(const Amount& a, double factor) {
-    return {a.cpus * factor, a.gpus * factor, a.memory_gb * factor};
+    return {a.cpus * factor, a.gpus * factor, a.memory_gb * factor, a.tasks * factor,
+            a.small_tasks * factor};
   }
 
   /// Tolerance of comparisons, since sums of decimal amounts are off in their last digits.
@@ -43,7 +53,8 @@
   /// Whether this amount is at most `room` in every dimension.
   [[nodiscard]] bool fits(const Amount& room) const {
     return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack &&
-           memory_gb <= room.memory_gb + kSlack;
+           memory_gb <= room.memory_gb + kSlack && tasks <= room.tasks + kSlack &&
+           small_tasks <= room.small_tasks + kSlack;
   }
 
   /// The largest share of `whole` that this amount takes in any dimension; `kUnbounded` where
@@ -53,20 +64,35 @@
       if (part <= 0) return 0.0;
       return total <= 0 ? kUnbounded : part / total;
     };
-    return std::max(
-        {share(cpus, whole.cpus), share(gpus, whole.gpus), share(memory_gb, whole.memory_gb)});
+    return std::max({share(cpus, whole.cpus), share(gpus, whole.gpus),
+                     share(memory_gb, whole.memory_gb), share(tasks, whole.tasks),
+                     share(small_tasks, whole.small_tasks)});
   }
 
   /// Stands for a share or a number of slots without a bound.
   static constexpr double kUnbounded = 1e9;
 };
 
+/// What one task takes of its machine.
+[[nodiscard]] inline Amount need_of_task(double cpus, double gpus, double memory_gb) {
+  const bool small = cpus < constants::kSmallTaskCpus && gpus < constants::kSmallTaskGpus &&
+                     memory_gb < constants::kSmallTaskMemory;
+  return {cpus, gpus, memory_gb, 1, small ? 1.0 : 0.0};
+}
+
+/// What an empty machine has for tasks.
+[[nodiscard]] inline Amount capacity_of_machine(double cpus, double gpus, double memory_gb) {
+  return {cpus, gpus, memory_gb, constants::kMaxTasksPerMachine,
+          constants::kMaxSmallTasksPerMachine};
+}
+
 /// The smaller of both amounts in each dimension.
 [[nodiscard]] inline Amount min_of_each(const Amount& a, const Amount& b) {
-  return {std::min(a.cpus, b.cpus), std::min(a.gpus, b.gpus), std::min(a.memory_gb, b.memory_gb)};
+  return {std::min(a.cpus, b.cpus), std::min(a.gpus, b.gpus), std::min(a.memory_gb, b.memory_gb),
+          std::min(a.tasks, b.tasks), std::min(a.small_tasks, b.small_tasks)};
 }
 
-/// How many tasks that need `need` each fit into `room`.
+/// How many tasks that need `need` each fit into `room`. `Amount::kUnbounded` at most.
 [[nodiscard]] inline std::size_t slots_in(const Amount& room, const Amount& need) {
   double slots = Amount::kUnbounded;
   const auto bound_by = [&slots](double available, double per_task) {
@@ -75,6 +101,8 @@
   bound_by(room.cpus, need.cpus);
   bound_by(room.gpus, need.gpus);
   bound_by(room.memory_gb, need.memory_gb);
+  bound_by(room.tasks, need.tasks);
+  bound_by(room.small_tasks, need.small_tasks);
   return static_cast<std::size_t>(std::max(0.0, slots));
 }
 
--- a/src/state/model.cpp
+++ b/src/state/model.cpp
@@ -28,7 +28,7 @@
   job->id = id;
   job->serial = next_serial_++;
   job->spec = record.spec;
-  job->need = {record.spec.cpus, record.spec.gpus, record.spec.memory_gb};
+  job->need = sched::need_of_task(record.spec.cpus, record.spec.gpus, record.spec.memory_gb);
   job->cancelled = record.cancelled;
   job->submitted = submitted;
   const auto size = store::block_size(settings_.state.value_kb);
@@ -170,28 +170,17 @@
   return machines;
 }
 
-void Model::include_gang_need(const Job& job) {
-  if (least_gang_need_) {
-    least_gang_need_ = sched::min_of_each(*least_gang_need_, job.need);
+void Model::include_need(const Job& job) {
+  auto& least = job.is_gang() ? least_gang_need_ : least_need_;
+  if (least) {
+    least = sched::min_of_each(*least, job.need);
     return;
   }
-  least_gang_need_ = job.need;
+  least = job.need;
   // No machine has been checked yet for room for a need as small as this one.
   for (auto& [id, machine] : machines_) mark_dirty(*machine);
 }
 
-void Model::include_need(const Job& job) {
-  if (job.is_gang()) return include_gang_need(job);
-  auto& least = least_need_;
-  const auto take = [](double& smallest, double need) {
-    smallest = smallest <= 0 ? need : std::min(smallest, need);
-  };
-  take(least.cpus, job.need.cpus);
-  take(least.memory_gb, job.need.memory_gb);
-  // For GPUs 0 is a need like any other, because many tasks take none.
-  least.gpus = jobs_.empty() ? job.need.gpus : std::min(least.gpus, job.need.gpus);
-}
-
 void Model::refresh_least_need() {
   std::optional<sched::Amount> least;
   std::optional<sched::Amount> least_of_gangs;
@@ -200,7 +189,7 @@
     auto& smallest = job->is_gang() ? least_of_gangs : least;
     smallest = smallest ? sched::min_of_each(*smallest, job->need) : job->need;
   }
-  least_need_ = least.value_or(sched::Amount{});
+  least_need_ = least;
   // When there is no gang any more, the last value is kept, because the next gang is most likely
   // similar.
   if (least_of_gangs) least_gang_need_ = least_of_gangs;
@@ -210,7 +199,7 @@
   machine_types_ = std::move(machine_types);
   for (auto& [id, machine] : machines_) {
     if (const auto* known = machine_type(machine->type))
-      machine->capacity = {known->cpus, known->gpus, known->memory_gb};
+      machine->capacity = sched::capacity_of_machine(known->cpus, known->gpus, known->memory_gb);
   }
 }
 
@@ -228,7 +217,7 @@
   machine.spot = spot;
   if (!addr.empty()) machine.addr = addr;
   if (const auto* known = machine_type(type))
-    machine.capacity = {known->cpus, known->gpus, known->memory_gb};
+    machine.capacity = sched::capacity_of_machine(known->cpus, known->gpus, known->memory_gb);
 }
 
 void Model::attach(Task& task, Machine& machine) {
--- a/src/state/model.hpp
+++ b/src/state/model.hpp
@@ -148,7 +148,8 @@
   void mark_dirty(Machine& machine);
   /// The least that a task of any job except gangs takes, for each resource separately. A machine
   /// with less room than this has no room for any of them.
-  [[nodiscard]] const sched::Amount& least_need() const { return least_need_; }
+  /// Nothing if there is no such job.
+  [[nodiscard]] sched::Amount least_need() const { return least_need_.value_or(sched::Amount{}); }
   /// The same for gangs, which are kept apart because their tasks may be much smaller. Empty until
   /// there is the first gang.
   [[nodiscard]] const std::optional<sched::Amount>& least_gang_need() const {
@@ -186,7 +187,6 @@
   void mark_dirty(Task& task);
   /// Lowers the least need to that of the job where that is smaller.
   void include_need(const Job& job);
-  void include_gang_need(const Job& job);
   [[nodiscard]] static store::BlockRecord record_of(const Block& block);
 
   const config::Settings& settings_;
@@ -202,7 +202,7 @@
   TaskSet planned_;
   MachineSet dirty_;
   MachineSet machines_to_command_;
-  sched::Amount least_need_;
+  std::optional<sched::Amount> least_need_;
   std::optional<sched::Amount> least_gang_need_;
   std::array<std::size_t, 4> on_machines_{};  ///< by priority
   std::map<std::string, std::unique_ptr<Machine>> machines_;
