Answers to an earlier process of a follower reach no worker of the next one

Cause: a follower numbered forwarded heartbeats from 1 in each process. The leader's answer holds this number and nothing else that assigns it, and travels to the node, where the next process took it for one of its own heartbeats.

Change: each process begins at a number derived from its random incarnation, with the highest bit set. The message is the same; leaders of the production version return the number as it is (UpgradeStep.RepliesToAnEarlierProcess...).

--- a/src/controller/heartbeat_router.cpp
+++ b/src/controller/heartbeat_router.cpp
@@ -1,5 +1,6 @@
 #include "controller/heartbeat_router.hpp"
 
+#include <functional>
 #include <utility>
 
 #include "config/constants.hpp"
@@ -14,8 +15,21 @@
 constexpr int kMisdirected = 421;
 constexpr int kServiceUnavailable = 503;
 
+/// Set in all numbers of forwarded heartbeats. Processes of versions that count from 1 use none of
+/// them.
+constexpr std::uint64_t kForwardNumberFlag = std::uint64_t{1} << 63;
+
+/// The number under which the process forwards first. Two processes begin so far apart that neither
+/// reaches the numbers of the other.
+std::uint64_t first_forward_number(const std::string& incarnation) {
+  return kForwardNumberFlag | std::hash<std::string>{}(incarnation);
+}
+
 }  // namespace
 
+HeartbeatRouter::HeartbeatRouter(Context context, const std::string& incarnation)
+    : context_(std::move(context)), next_forward_(first_forward_number(incarnation)) {}
+
 void HeartbeatRouter::on_heartbeat(wire::WorkerHeartbeat heartbeat, const std::string& body,
                                    net::Responder respond) {
   if (redirect_to_zone(heartbeat, respond)) return;
--- a/src/controller/heartbeat_router.hpp
+++ b/src/controller/heartbeat_router.hpp
@@ -40,8 +40,9 @@
     std::function<election::Connectivity()> connectivity;
   };
 
-  /// Keeps the context; routes nothing yet.
-  explicit HeartbeatRouter(Context context) : context_(std::move(context)) {}
+  /// Keeps the context; routes nothing yet. `incarnation` differs from that of every earlier
+  /// process of this node.
+  HeartbeatRouter(Context context, const std::string& incarnation);
 
   /// Routes a heartbeat that a worker sent to this node. `body`: the message as it was received.
   void on_heartbeat(wire::WorkerHeartbeat heartbeat, const std::string& body,
@@ -72,7 +73,9 @@
 
   Context context_;
   std::map<std::uint64_t, Forwarded> forwarded_;  ///< by the number they were sent under
-  std::uint64_t next_forward_ = 1;
+  /// A reply names only this number, and may be meant for an earlier process of this node. So no
+  /// two processes use the same numbers.
+  std::uint64_t next_forward_;
   std::map<std::string, Redirect> redirects_;  ///< by machine
 };
 
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-Node::Node(const config::Settings& settings, Ports ports, std::string incarnation)
+Node::Node(const config::Settings& settings, Ports ports, const std::string& incarnation)
     : settings_(settings),
       loop_(ports.event_loop),
       store_(ports.store),
@@ -52,12 +52,13 @@
       read_index_(ports.event_loop, queue_, ports.store, mirror_, read_index_interval(settings)),
       election_({settings, ports.event_loop, queue_, ports.store, mirror_, terms_,
                  [this](const election::Candidacy& candidacy) { become_leader(candidacy); }},
-                std::move(incarnation)),
+                incarnation),
       zone_delegate_({settings, ports.event_loop, queue_, ports.store, mirror_, read_index_}),
       peers_(settings, ports.event_loop),
       outbox_(ports.event_loop, queue_),
       heartbeat_router_({settings, ports.event_loop, peers_, terms_, zone_delegate_, outbox_,
-                         [this] { return leader_.get(); }, [this] { return connectivity(); }}),
+                         [this] { return leader_.get(); }, [this] { return connectivity(); }},
+                        incarnation),
       user_api_(settings, ports.event_loop, queue_, ports.store, mirror_, read_index_,
                 [this](const std::string& job) { broadcast_cancellation(job); }),
       machine_type_source_(ports.event_loop, queue_, ports.cloud,
--- a/src/controller/node.hpp
+++ b/src/controller/node.hpp
@@ -39,7 +39,7 @@
   };
 
   /// `incarnation` differs from that of every earlier process of this node.
-  Node(const config::Settings& settings, Ports ports, std::string incarnation);
+  Node(const config::Settings& settings, Ports ports, const std::string& incarnation);
 
   /// Begins to work. The transport hands messages to `on_message`, so it is made after the node.
   /// It has to exist as long as the node works.
--- a/tests/production/upgrade_test.cpp
+++ b/tests/production/upgrade_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "production/adapter.hpp"
+#include "support/forwarding.hpp"
 #include "support/histories.hpp"
 #include "support/scenarios.hpp"
 
@@ -117,5 +118,15 @@
   expect_no_violations(world);
 }
 
+/// Guards against `ran_twice` as ForwardedReplies does, with a leader of the production version,
+/// which returns the numbers of forwarded heartbeats as they are.
+TEST(UpgradeStep, RepliesToAnEarlierProcessReachNoOtherWorker) {
+  for (int later = 1; later <= 6; ++later) {
+    World world(953, 3, std::nullopt, make_production_node);
+    expect_replies_reach_their_own_workers(world, 3, later);
+    EXPECT_TRUE(world.other_version_leads());
+  }
+}
+
 }  // namespace
 }  // namespace elmstall::test
