An exit from a heartbeat of an earlier epoch frees no task

Cause: rule 3 permitted it, "a task that ended, ended". An attempt number is not one run: after a machine lost its epoch, a leader that does not know the epoch runs the recorded attempt again. A heartbeat from before then freed the task at the next leader.

Change: until a machine was synchronized in this term, no exit in its heartbeats frees a task or is cleared; a result is kept, and completes the task when it is certainly on no machine. A gang that was completed by a task ends on machines that were not heard before it is done. Records and messages are the same.

--- a/src/dispatch/command_composer.cpp
+++ b/src/dispatch/command_composer.cpp
@@ -54,8 +54,8 @@
 }
 
 bool CommandComposer::run_due(const state::Task& task, const state::Machine& machine) {
-  if (task.in_last_heartbeat() || task.block->record->written < task.required_version())
-    return false;
+  if (task.in_last_heartbeat() || task.completion_reported()) return false;
+  if (task.block->record->written < task.required_version()) return false;
   if (task.job->is_gang() && !gangs_.may_run(task)) return false;
   // The worker refuses this attempt until an earlier one is cleared on the machine.
   return std::none_of(
--- a/src/placement/gang_attempts.hpp
+++ b/src/placement/gang_attempts.hpp
@@ -32,7 +32,7 @@
   /// Ends all tasks of the attempt without time for a checkpoint. `reason` goes to the log.
   void end(state::Job& job, const char* reason, double now);
   /// To be called when no task is on a machine any more. The gang waits for its next attempt, or
-  /// is complete if an earlier attempt completed.
+  /// is complete if it completed before.
   void finish(state::Job& job, double now);
   /// Records all tasks as completed. A task of a gang completes only together with all others.
   void complete(state::Job& job, double now);
--- a/src/placement/gang_coordinator.cpp
+++ b/src/placement/gang_coordinator.cpp
@@ -20,6 +20,14 @@
 /// elapsed at a takeover. The time at which they began to wait is not recorded.
 constexpr double kAssumedElapsedWaitShare = 0.5;
 
+/// Whether the epochs of all machines that may have tasks of the gang are known in this term.
+bool on_known_epochs_only(const state::Job& job) {
+  const auto tasks = gang_tasks_in_memory(job);
+  return std::none_of(tasks.begin(), tasks.end(), [](const state::Task* task) {
+    return task->may_be_on_machine() && !task->machine()->epoch_known;
+  });
+}
+
 /// Whether the machine refused the task, so that it never began there.
 bool is_refusal(EndCause cause) {
   return cause == EndCause::no_room || cause == EndCause::in_use || cause == EndCause::unknown;
@@ -84,16 +92,19 @@
 }
 
 void GangCoordinator::on_done(state::Job& job, double now) {
-  if (!job.cancelled && job.gang.state != GangState::done) attempts_.complete(job, now);
+  if (job.cancelled || job.gang.state == GangState::done) return;
+  // A task on a machine that was not synchronized since the takeover may run there again (rule 3).
+  if (!on_known_epochs_only(job)) return on_past_completion(job, now);
+  attempts_.complete(job, now);
 }
 
-void GangCoordinator::on_earlier_attempt_done(state::Job& job, double now) {
+void GangCoordinator::on_past_completion(state::Job& job, double now) {
   auto& gang = job.gang;
   if (job.cancelled || gang.state == GangState::done || gang.completed) return;
   gang.completed = true;
-  spdlog::info("gang {}: an earlier attempt completed", job.id);
+  spdlog::info("gang {}: it completed before", job.id);
   if (gang.state == GangState::starting || gang.state == GangState::running)
-    return attempts_.end(job, "an earlier attempt completed", now);
+    return attempts_.end(job, "it completed before", now);
   if (job.on_machines == 0 || gang.state == GangState::claiming) attempts_.complete(job, now);
 }
 
--- a/src/placement/gang_coordinator.hpp
+++ b/src/placement/gang_coordinator.hpp
@@ -39,11 +39,13 @@
   void on_task_state(state::Task& task, wire::TaskState state, double now);
   /// Handles the end of a task, for this cause. It is certainly no longer on its machine.
   void on_exit(state::Task& task, wire::EndCause cause, double now);
-  /// Handles the completion of a task of the current attempt, which completes the whole gang.
+  /// Handles the completion of a task of the current attempt, which completes the whole gang: at
+  /// once, if the epochs of all its machines are known in this term.
   void on_done(state::Job& job, double now);
-  /// Handles the completion of a task of an earlier attempt. Its result counts, so the gang is
-  /// complete as soon as the current attempt has ended.
-  void on_earlier_attempt_done(state::Job& job, double now);
+  /// Handles the completion of a task in an earlier attempt, or in what may be an earlier epoch of
+  /// its machine. The result counts, so the gang is complete as soon as the current attempt has
+  /// ended.
+  void on_past_completion(state::Job& job, double now);
 
   /// Starts a new round of decisions.
   void begin_round() { claims_.begin_round(); }
--- a/src/reconcile/heartbeat_reader.cpp
+++ b/src/reconcile/heartbeat_reader.cpp
@@ -79,7 +79,10 @@
                         task->machine() == &machine && task->attempt() == status.attempt;
   if (!recorded) return read_unrecorded_task(machine, job, status, now);
   task->mark_listed();
-  if (status.state == TaskState::ended) return on_exit(*task, machine, status, now);
+  if (status.state == TaskState::ended) {
+    if (machine.epoch_known) return on_exit(*task, machine, status, now);
+    return on_unconfirmed_exit(*task, status, now);
+  }
   task->observe(status.state, now);
   if (job->is_gang()) context_.gangs.on_task_state(*task, status.state, now);
 }
@@ -90,7 +93,7 @@
   if (status.state == TaskState::ended) {
     machine.exited.push_back(attempt);
     if (job != nullptr && job->is_gang() && status.cause == EndCause::done)
-      context_.gangs.on_earlier_attempt_done(*job, now);
+      context_.gangs.on_past_completion(*job, now);
     return;
   }
   machine.unrecorded_tasks.push_back(attempt);
@@ -113,6 +116,17 @@
   context_.model.unassign(task);
 }
 
+void HeartbeatReader::on_unconfirmed_exit(state::Task& task, const wire::TaskStatus& status,
+                                          double now) {
+  // The machine may be in a later epoch by now, in which a former leader had the same attempt run
+  // again. So the task still counts as being on the machine, and its attempt is not cleared there
+  // (rules 3, 4 and 7). Only its result is kept whatever happened since.
+  const auto& job = *task.job;
+  if (status.cause != EndCause::done || job.cancelled || job.is_service()) return;
+  if (job.is_gang()) return context_.gangs.on_past_completion(*task.job, now);
+  task.mark_completion_reported();
+}
+
 void HeartbeatReader::on_done(state::Task& task, double now) {
   auto& job = *task.job;
   if (job.cancelled) return context_.model.unassign(task);
@@ -133,7 +147,9 @@
     if (!task->may_be_on_machine() || task->in_last_heartbeat()) continue;
     // Once a gang has begun, no task can join it any more.
     const bool attempt_over = task->job->is_gang() && task->job->gang.replacement_disabled;
-    if (task->is_stopping() || task->job->cancelled || attempt_over) context_.model.unassign(*task);
+    const bool ends_here =
+        task->is_stopping() || task->job->cancelled || attempt_over || task->completion_reported();
+    if (ends_here) context_.model.unassign(*task);
     // Otherwise `run` will be sent again. The worker still accepts it, since the attempt was never
     // cleared there.
   }
--- a/src/reconcile/heartbeat_reader.hpp
+++ b/src/reconcile/heartbeat_reader.hpp
@@ -67,6 +67,8 @@
                             const wire::TaskStatus& status, double now);
   void on_exit(state::Task& task, state::Machine& machine, const wire::TaskStatus& status,
                double now);
+  /// Reads an exit from a machine whose epoch is not known in this term.
+  void on_unconfirmed_exit(state::Task& task, const wire::TaskStatus& status, double now);
   void on_done(state::Task& task, double now);
   void unassign_absent_tasks(state::Machine& machine);
   void stop_for_interruption(state::Machine& machine, double now);
--- a/src/state/gang.hpp
+++ b/src/state/gang.hpp
@@ -65,8 +65,9 @@
   /// The earliest time at which a task of the current attempt may have begun to wait for the
   /// others. Workers let a task wait for `gang_wait_s`. Infinity: none is known to wait.
   double gathering_since = std::numeric_limits<double>::infinity();
-  /// A task of an earlier attempt has completed, so the whole gang is complete. The tasks of
-  /// the current attempt must be ended before the gang is done.
+  /// A task completed in an earlier attempt, or in what may be an earlier epoch of its machine, so
+  /// the whole gang is complete. The tasks of the current attempt must be ended before the gang is
+  /// done.
   bool completed = false;
   /// Identifiers of machines that refused a task of this gang, on which one failed, or which
   /// did not get its image while the other tasks waited.
--- a/src/state/model.cpp
+++ b/src/state/model.cpp
@@ -288,6 +288,7 @@
 }
 
 void Model::unassign(Task& task) {
+  if (task.completion_reported() && !task.job->cancelled) return complete(task);
   detach(task);
   task.enter(TaskPhase::pending);
   mark_dirty(task);
--- a/src/state/model.hpp
+++ b/src/state/model.hpp
@@ -93,8 +93,9 @@
   /// be higher than any number that the task has had.
   void assign(Task& task, Machine& machine, std::uint64_t attempt);
   /// Makes a task pending that certainly is on no machine any more: it was never sent there (rule
-  /// 1), a synchronized machine does not list it (rule 3), it has exited, or its machine is gone
-  /// (rule 6). The task keeps its attempt number.
+  /// 1), a synchronized machine does not list it (rule 3), it has exited in the machine's present
+  /// epoch, or its machine is gone (rule 6). The task keeps its attempt number. A task with
+  /// Task::completion_reported() is completed instead.
   void unassign(Task& task);
   /// Notes that the task is completed and has this recorded. If it was the last one of its block,
   /// all Task objects of the block are destroyed.
--- a/src/state/task.hpp
+++ b/src/state/task.hpp
@@ -104,6 +104,12 @@
   /// Whether the task was seen to run under this attempt.
   [[nodiscard]] bool has_run() const { return running_since_ != kNever; }
 
+  /// Notes that the task has completed under its present attempt, according to a heartbeat that may
+  /// be of an earlier epoch of its machine. The result is kept, but the task may be there again.
+  void mark_completion_reported() { completion_reported_ = true; }
+  /// Whether the task is completed as soon as it is certain that it is not on its machine.
+  [[nodiscard]] bool completion_reported() const { return completion_reported_; }
+
   /// Prevents a start of the task before this time. A later time that was set before remains in
   /// force.
   void postpone(double until);
@@ -139,6 +145,7 @@
   double stop_sent_at_ = kNever;
   double not_before_ = kNever;
   int failures_ = 0;
+  bool completion_reported_ = false;
   bool queued_ = false;
 };
 
