Place large services in many short decisions

One accepted service of 100,000 tasks that fit everywhere keeps each leader in one decision, and no question is answered.

Cause: for each task that is placed directly every machine with room is examined, and one decision placed all tasks that fit.

Change: a decision examines 20,000 machines a job, 200,000 in all, and the next decision goes on. At least one task of each job is tried in its turn.

--- a/src/placement/direct_placement.cpp
+++ b/src/placement/direct_placement.cpp
@@ -10,6 +10,16 @@
 
 namespace elmstall::placement {
 
+namespace {
+
+/// Machines. Largest numbers that are examined in one round of decisions for one job and for all of
+/// them, so that a round ends long before the leader lease does. A job that needs more is continued
+/// in the next round.
+constexpr std::size_t kExaminationsPerJob = 20'000;
+constexpr std::size_t kExaminationsPerRound = 200'000;
+
+}  // namespace
+
 std::vector<state::Job*> DirectPlacement::jobs_by_precedence(double now) {
   std::vector<state::Job*> jobs;
   for (auto* job : model_.jobs_with_unqueued_tasks()) {
@@ -26,7 +36,9 @@
 }
 
 void DirectPlacement::place_jobs(double now) {
+  const auto round_end = machines_examined_ + kExaminationsPerRound;
   for (auto* job : jobs_by_precedence(now)) {
+    if (machines_examined_ >= round_end) return;
     if (place(*job, now) == Progress::complete) model_.jobs_with_unqueued_tasks().erase(job);
   }
 }
@@ -42,11 +54,13 @@
 
 DirectPlacement::Progress DirectPlacement::place_tasks(state::Job& job, double now) {
   auto progress = Progress::complete;
+  const auto job_end = machines_examined_ + kExaminationsPerJob;
   for (std::uint32_t number = 0; number < job.block_count; ++number) {
     for (auto& task : model_.load_block(job, number, nullptr).tasks) {
       if (!task.is_pending()) continue;
       progress = Progress::incomplete;
       if (task.not_before() > now || !model_.recordable(task)) continue;
+      if (machines_examined_ >= job_end) return progress;
       // All tasks of a job have the same needs: if this one can't be placed, nor can the others.
       if (!place_task(task, now)) return progress;
     }
@@ -67,7 +81,8 @@
   return true;
 }
 
-state::Machine* DirectPlacement::best_machine_with_room(const state::Job& job) const {
+state::Machine* DirectPlacement::best_machine_with_room(const state::Job& job) {
+  machines_examined_ += machines_.with_room().size();
   state::Machine* best = nullptr;
   double best_score = 0;
   for (auto* machine : machines_.with_room()) {
--- a/src/placement/direct_placement.hpp
+++ b/src/placement/direct_placement.hpp
@@ -27,8 +27,11 @@
         gangs_(gangs) {}
 
   /// Advances all jobs of these kinds in Model::jobs_with_unqueued_tasks() by one step, by
-  /// precedence and then by age. Jobs with nothing left to place are removed from that set.
+  /// precedence and then by age. Jobs with nothing left to place are removed from that set. The
+  /// work of one call is bounded: large jobs are placed in several.
   void place_jobs(double now);
+  /// How many times a machine was examined so far as a place for one task.
+  [[nodiscard]] std::size_t machines_examined() const { return machines_examined_; }
 
  private:
   /// Whether the placement of a job is complete. The job is then no longer one of
@@ -41,7 +44,7 @@
   /// Assigns one task to a machine, or makes room for it; false if neither is possible now.
   bool place_task(state::Task& task, double now);
   /// The machine with the best score among those with room for the job's next task, or null.
-  [[nodiscard]] state::Machine* best_machine_with_room(const state::Job& job) const;
+  [[nodiscard]] state::Machine* best_machine_with_room(const state::Job& job);
   /// Chooses the zone with the most room for a job whose tasks must stay together.
   void choose_zone(state::Job& job, double now);
 
@@ -50,6 +53,7 @@
   const MachineIndex& machines_;
   PreemptionSearch& preemption_;
   GangCoordinator& gangs_;
+  std::size_t machines_examined_ = 0;
 };
 
 }  // namespace elmstall::placement
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -52,7 +52,8 @@
   [[nodiscard]] std::size_t moved_tasks() const { return queues_.moved_tasks(); }
   /// Machines examined so far: the cost of decisions, for tests and metrics.
   [[nodiscard]] std::size_t machines_examined() const {
-    return machines_.machines_examined() + starter_.machines_examined();
+    return machines_.machines_examined() + starter_.machines_examined() +
+           direct_placement_.machines_examined();
   }
 
  private:
--- a/tests/decision_cost_test.cpp
+++ b/tests/decision_cost_test.cpp
@@ -26,6 +26,36 @@
   }
 }
 
+/// Guards against `forgotten`: one accepted job whose tasks fit everywhere must not keep the leader
+/// in a single decision until its lease is over. It is placed in several, beside other jobs.
+TEST(Planner, PlacesLargeServiceInManyShortDecisions) {
+  constexpr int kFleet = 300;
+  World world(60);
+  world.cloud.capacity = kFleet;
+  world.submit(array(1, kFleet * 2, 2000));
+  world.run_until(70);
+  ASSERT_EQ(placed_tasks(world, "job-1"), static_cast<std::size_t>(kFleet) * 2);
+  for (const int number : {2, 3}) {
+    auto small = service_in_any_zone(number, number == 2 ? constants::kMaxTasks : 4);
+    small.cpus = small.gpus = small.memory_gb = 0;
+    small.spot = true;
+    world.submit(small);
+  }
+  const auto& planner = leader_of(world).planner();
+  std::size_t most_in_a_step = 0;
+  for (int step = 0; step < 80; ++step) {
+    const auto before = planner.machines_examined();
+    world.run_for(0.05);
+    most_in_a_step = std::max(most_in_a_step, planner.machines_examined() - before);
+  }
+  // At most two decisions in a step. A machine's examination takes well below a microsecond, and
+  // the smallest controllers have a thirtieth of a core and a leader lease of 3 s.
+  EXPECT_LT(most_in_a_step, 100'000U);
+  EXPECT_GT(placed_tasks(world, "job-2"), 1000U);
+  EXPECT_EQ(placed_tasks(world, "job-3"), 4U) << "a later job waits until the large one is placed";
+  expect_no_violations(world);
+}
+
 /// The cost of an unchanged heartbeat, in bytes of the response and in machines examined, does not
 /// depend on the size of the fleet.
 TEST(Heartbeats, CostDoesNotGrowWithTheFleet) {
