--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -257,9 +257,11 @@
 inline constexpr double kMaxTasksPerMachine = 400;
 /// Tasks. The same for small tasks alone, so that they leave places for others.
 inline constexpr double kMaxSmallTasksPerMachine = 200;
-/// Cores, GPUs and GB. A task that needs less than this of each is small.
+/// Cores. A task is small if it needs less than this, `kSmallTaskGpus` and `kSmallTaskMemory`.
 inline constexpr double kSmallTaskCpus = 0.05;
+/// GPUs; see `kSmallTaskCpus`.
 inline constexpr double kSmallTaskGpus = 0.05;
+/// GB of memory; see `kSmallTaskCpus`.
 inline constexpr double kSmallTaskMemory = 0.05;
 
 // --- dispatch: commands for a worker -----------------------------------------------------------
