--- a/tests/forwarding_test.cpp
+++ b/tests/forwarding_test.cpp
@@ -4,11 +4,6 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <vector>
-
-#include "support/scenarios.hpp"
-
 namespace elmstall::test {
 namespace {
 
