Play copies of answered commands, with a failing test of the start that came once more

A task ran on two machines at once: a copy of a command call that had been carried out and answered 5.0 s before reached the worker, which had forgotten the attempt by then ("clear"), and started it anew.

No source below src/ changes.

--- a/tests/support/fake_http_servers.cpp
+++ b/tests/support/fake_http_servers.cpp
@@ -271,7 +271,15 @@
   if (world_.network.command_delay_s > 0)
     return world_.loop.after(world_.network.command_delay_s, [execute] { (void)execute(); });
   const auto response = execute();
-  if (response && !world_.network.command_replies_lost) respond(*response);
+  if (!response || world_.network.command_replies_lost) return;
+  constexpr int ok = 200;
+  if (response->status == ok) {
+    const auto document = wire::Document::parse(request.body);
+    const auto envelope = wire::decode_commands(document.root());
+    world_.command_copies.on_answered(
+        *worker, {envelope.token, envelope.epoch, envelope.commands, worker->last_serial()});
+  }
+  respond(*response);
 }
 
 }  // namespace elmstall::test
--- a/tests/support/fake_worker_rpc.cpp
+++ b/tests/support/fake_worker_rpc.cpp
@@ -25,6 +25,9 @@
     if (worker->dead()) return std::nullopt;
     return worker->on_command_rpc(token, epoch, commands);
   };
+  const Answered answered = [this, worker, token, epoch, commands] {
+    world_.command_copies.on_answered(*worker, {token, epoch, commands, worker->last_serial()});
+  };
   // Decided before the other faults: the order of random draws is part of a seed's history.
   const bool lost = request_lost(*worker);
   if (worker->hung()) {
@@ -36,7 +39,7 @@
     return time_out(done, Outcome::unknown);
   }
   if (lost) return lose(execute, done);
-  execute_now(execute, done);
+  execute_now(execute, answered, done);
 }
 
 bool FakeWorkerRpc::request_lost(const FakeWorker& worker) {
@@ -59,13 +62,15 @@
   time_out(done, Outcome::unknown);
 }
 
-void FakeWorkerRpc::execute_now(const Execute& execute, const Done& done) {
-  world_.loop.after(kOneWayDelay, [this, execute, done] {
+void FakeWorkerRpc::execute_now(const Execute& execute, const Answered& answered,
+                                const Done& done) {
+  world_.loop.after(kOneWayDelay, [this, execute, answered, done] {
     auto result = execute();
     if (!result) return time_out(done, Outcome::not_sent);
     if (world_.on_commands) world_.on_commands();
     if (world_.network.command_replies_lost || world_.random() < world_.network.loss)
       return time_out(done, Outcome::unknown);
+    if (result->outcome == Outcome::done) answered();
     world_.loop.after(kOneWayDelay, [done, result = std::move(*result)] { done(result); });
   });
 }
--- a/tests/support/fake_worker_rpc.hpp
+++ b/tests/support/fake_worker_rpc.hpp
@@ -29,13 +29,16 @@
   /// Executes the commands on the worker; no result if the machine is lost.
   using Execute = std::function<std::optional<clients::CommandResult>()>;
 
+  /// Called when the worker has executed the commands and its answer is on its way.
+  using Answered = std::function<void()>;
+
   /// The RPC fails after its time limit with this outcome.
   void time_out(const Done& done, clients::CommandResult::Outcome outcome);
   /// The machine hangs: the request is accepted and executed when the machine resumes.
   void execute_after_hang(const FakeWorker& worker, const Execute& execute);
   /// The request is lost, or delayed in the network and executed up to a minute later.
   void lose(const Execute& execute, const Done& done);
-  void execute_now(const Execute& execute, const Done& done);
+  void execute_now(const Execute& execute, const Answered& answered, const Done& done);
   [[nodiscard]] bool request_lost(const FakeWorker& worker);
 
   World& world_;
--- a/tests/support/rules.cpp
+++ b/tests/support/rules.cpp
@@ -99,6 +99,15 @@
     fail("ran_cancelled", wire::task_name(job, index) + " was there too long");
 }
 
+void RuleChecker::record_effect_of_copy(double now, const wire::WorkerCommand& command,
+                                        const std::string& machine) {
+  const auto name = std::string(wire::to_text(command.verb)) + " of " +
+                    wire::task_name(command.job, command.index) + " attempt " +
+                    std::to_string(command.attempt) + " on " + machine;
+  report_event(now, "the copy of a command takes effect: " + name);
+  fail("copy_took_effect", name);
+}
+
 std::size_t RuleChecker::tasks_on_machines(const std::string& job) const {
   return static_cast<std::size_t>(std::count_if(
       placements_.begin(), placements_.end(),
--- a/tests/support/rules.hpp
+++ b/tests/support/rules.hpp
@@ -11,6 +11,7 @@
 #include "config/settings.hpp"
 #include "sched/resources.hpp"
 #include "wire/types.hpp"
+#include "wire/workers.hpp"
 
 namespace elmstall::test {
 
@@ -57,6 +58,10 @@
                          const Place& place);
   void record_task_end(double now, const std::string& job, std::uint32_t index,
                        const std::string& machine);
+  /// The late copy of a command that was answered before starts a task, or changes one that began
+  /// after the original command. It must do neither, on whatever machine and however soon.
+  void record_effect_of_copy(double now, const wire::WorkerCommand& command,
+                             const std::string& machine);
   void record_completed(const std::string& job, std::uint32_t index) {
     completed_tasks_[job].insert(index);
   }
--- a/tests/support/worker.cpp
+++ b/tests/support/worker.cpp
@@ -127,11 +127,37 @@
   const bool token_changed = token > token_;
   token_ = token;
   if (epoch != epoch_) return {Outcome::refused, make_heartbeat()};
-  for (const auto& command : commands) execute(command);
+  execute_all(commands);
   if (token_changed || !commands.empty()) send_heartbeat_soon();
   return {Outcome::done, make_heartbeat()};
 }
 
+void FakeWorker::on_command_copy(const AnsweredCommands& original) {
+  ++sequence_;  // of the reply
+  if (original.token < token_ || original.epoch != epoch_) return;
+  token_ = original.token;
+  for (const auto& command : original.commands) {
+    check_copy(command, original.last_serial);
+    execute(command);
+  }
+}
+
+void FakeWorker::check_copy(const wire::WorkerCommand& command, std::uint64_t last_serial) {
+  const auto found = tasks_.find({command.job, command.index});
+  const bool starts = command.verb == wire::Verb::run && found == tasks_.end();
+  const bool changes_later_task =
+      command.verb != wire::Verb::run && found != tasks_.end() &&
+      found->second.attempt == command.attempt && found->second.serial > last_serial &&
+      (found->second.state == TaskState::ended) == (command.verb == wire::Verb::clear);
+  if (starts || changes_later_task)
+    world_.rules.record_effect_of_copy(world_.loop.now(), command, id_);
+}
+
+void FakeWorker::execute_all(const std::vector<wire::WorkerCommand>& commands) {
+  for (const auto& command : commands) execute(command);
+  if (std::exchange(cleared_, false)) world_.command_copies.on_cleared(*this);
+}
+
 void FakeWorker::send_heartbeat() {
   const double sent = world_.loop.now();
   const auto heartbeat = make_heartbeat();
@@ -199,7 +225,7 @@
   const bool token_changed = commands.token > token_;
   token_ = commands.token;
   lease_start_ = sent;
-  for (const auto& command : commands.commands) execute(command);
+  execute_all(commands.commands);
   if (token_changed) send_heartbeat_soon();
 }
 
@@ -221,6 +247,7 @@
           found->second.state != TaskState::ended)
         return;
       tasks_.erase(found);
+      cleared_ = true;
       return send_heartbeat_soon();
   }
 }
--- a/tests/support/worker.hpp
+++ b/tests/support/worker.hpp
@@ -12,6 +12,7 @@
 #include "clients/worker_rpc.hpp"
 #include "net/http_server.hpp"
 #include "sched/resources.hpp"
+#include "support/command_copies.hpp"
 
 namespace elmstall::test {
 
@@ -35,6 +36,11 @@
   /// Executes a command RPC on arrival.
   clients::CommandResult on_command_rpc(std::uint64_t token, std::uint64_t epoch,
                                         const std::vector<wire::WorkerCommand>& commands);
+  /// Executes a late copy of an RPC that was answered before. Nobody waits for its reply. Whatever
+  /// it starts, or changes in a task that began after the original, breaks a rule.
+  void on_command_copy(const AnsweredCommands& original);
+  /// Serial number of the last task that it started.
+  [[nodiscard]] std::uint64_t last_serial() const { return serial_; }
   /// Stops the machine and its tasks for so many seconds.
   void hang(double seconds);
   [[nodiscard]] bool hung() const;
@@ -75,6 +81,9 @@
   void on_response(std::uint64_t sequence, double sent, std::size_t node,
                    const net::Response& response);
   void execute(const wire::WorkerCommand& command);
+  void execute_all(const std::vector<wire::WorkerCommand>& commands);
+  /// Reports to the rules what the copy of a command is about to change.
+  void check_copy(const wire::WorkerCommand& command, std::uint64_t last_serial);
   void stop(const Name& name, Task& task, double grace_period_s);
   [[nodiscard]] bool in_gang(const Name& name) const;
   void run(const Name& name, std::uint64_t attempt);
@@ -99,6 +108,7 @@
   double hung_until_ = -1;
   double last_heartbeat_ = -10;
   bool in_flight_ = false;
+  bool cleared_ = false;  ///< the message that is being executed has cleared an attempt
   std::size_t node_ = 0;
   std::map<Name, Task> tasks_;
 };
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "support/command_copies.hpp"
 #include "support/fake_cloud.hpp"
 #include "support/fake_state.hpp"
 #include "support/gangs.hpp"
@@ -122,6 +123,7 @@
   FakeCloud cloud;
   std::map<std::string, std::unique_ptr<FakeWorker>> workers;  ///< by id of the machine
   NetworkFaults network;
+  CommandCopies command_copies;
   Users users;
   PeerTraffic peer_traffic;
 
