An attempt is cleared only under a token that voids its start

What callers saw: a task that had failed and ran on a second machine was started on the first one once more (ran_twice), by a copy of the start that had been carried out and answered 5.0 s before.

Cause: the leader took an answered command call to be over, and rules 2 to 4 said so. The worker accepts a call as long as its token and epoch match. While it knows the attempt, a repeated run does nothing; clear makes it forget the attempt, and went out under the same token. Calls without an answer were fenced, answered ones were not.

Fix: a clear carries a higher token than the last command RPC that ran a task on the machine (Fencing::may_clear), so the worker refuses every copy of it before it forgets the attempt. Such a fence leaves no command in doubt, so the machine stays synchronized (synchronizing_fence) and takes tasks as before. The reply to the heartbeat that shows the exit carries the higher token, so that the RPC that follows does not overtake it. A gang's task that runs again under its attempt number is cleared and run in two messages, the run under a higher token than the clear. Records and messages are unchanged; a next leader's tokens are higher anyway. A machine that runs out of fences gets no new tasks and is replaced; at the last one it is not synchronized any more.

The simulated worker counts a higher token as a change twice a lease, as the protocol says. Logs: 'unrecorded task' and 'command reply'.

--- a/src/autoscaler/health_review.cpp
+++ b/src/autoscaler/health_review.cpp
@@ -63,7 +63,8 @@
 
 void HealthReview::review_running(state::Machine& machine, Findings& findings, double now) {
   const bool silent = machine.silent_for(now) > settings_.heartbeat_timeout_s();
-  if (machine.tasks.empty() && machine.quarantined) {
+  const bool unusable = machine.quarantined || machine.fences_running_out();
+  if (machine.tasks.empty() && unusable) {
     terminations_.mark(machine);
   } else if (silent) {
     findings.silent.push_back(&machine);
--- a/src/autoscaler/pool_survey.cpp
+++ b/src/autoscaler/pool_survey.cpp
@@ -23,7 +23,7 @@
 
 bool is_schedulable(const state::Machine& machine) {
   return !machine.terminating && !machine.quarantined && !machine.interruption_at &&
-         !machine.reported_failed;
+         !machine.fences_running_out() && !machine.reported_failed;
 }
 
 void count_machine(std::vector<sched::Pool>& pools, const state::Machine& machine,
--- a/src/clients/worker_rpc.hpp
+++ b/src/clients/worker_rpc.hpp
@@ -27,6 +27,21 @@
   std::optional<wire::WorkerHeartbeat> heartbeat;
 };
 
+/// The name of the outcome, for log lines.
+[[nodiscard]] constexpr const char* to_text(CommandResult::Outcome outcome) {
+  switch (outcome) {
+    case CommandResult::Outcome::done:
+      return "done";
+    case CommandResult::Outcome::refused:
+      return "refused";
+    case CommandResult::Outcome::not_sent:
+      return "not_sent";
+    case CommandResult::Outcome::unknown:
+      return "unknown";
+  }
+  return "invalid";
+}
+
 /// Sends commands to workers. All calls and callbacks are made on the event loop's thread.
 class WorkerRpc {
  public:
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -167,6 +167,9 @@
 inline constexpr double kTaskStartMaxRecordsAge = 4.0;
 /// Bits of a fencing token below the term, which count the fences of one machine.
 inline constexpr int kTokenFenceBits = 20;
+/// Fences. A machine with fewer than these left in the term gets no new tasks. They suffice to
+/// clear all tasks that it has by then, and for RPCs without a reply until it is empty.
+inline constexpr std::uint32_t kFenceReserve = 4096;
 
 // --- election: zone delegates ------------------------------------------------------------------
 /// Seconds. Life of the state store's lease to which a zone delegate's record is bound.
@@ -267,6 +270,9 @@
 // --- dispatch: commands for a worker -----------------------------------------------------------
 /// Commands. Largest number of commands in one message, which keeps it far below 64 KiB.
 inline constexpr std::size_t kMaxCommands = 200;
+/// Attempts. From this number of exited attempts on, a command RPC clears them although that needs
+/// a higher token, before which a heartbeat's reply may be dropped.
+inline constexpr std::size_t kMaxPendingClears = 50;
 /// Seconds. A command to stop a task with a grace period is repeated after this time.
 inline constexpr double kStopRepeat = 1.0;
 
--- a/src/dispatch/command_dispatcher.cpp
+++ b/src/dispatch/command_dispatcher.cpp
@@ -50,6 +50,37 @@
   }
 }
 
+void CommandDispatcher::log_result(const std::string& machine_id,
+                                   const clients::CommandResult& result) {
+  if (!spdlog::should_log(spdlog::level::debug)) return;
+  if (!result.heartbeat) {
+    spdlog::debug("command reply: machine={} outcome={}", machine_id, to_text(result.outcome));
+    return;
+  }
+  spdlog::debug("command reply: machine={} outcome={} token={} epoch={} sequence={} tasks={}",
+                machine_id, to_text(result.outcome), result.heartbeat->token,
+                result.heartbeat->epoch, result.heartbeat->sequence,
+                result.heartbeat->tasks.size());
+}
+
+// --- tokens that permit commands (rule 4) -------------------------------------------
+
+void CommandDispatcher::prepare_reply_token(state::Machine& machine) {
+  // Also if nothing may be cleared yet: an RPC that does so soon after then needs no higher token,
+  // because of which the worker would drop this reply if the RPC overtook it.
+  if (!machine.exited.empty()) context_.fencing.prepare_clear(machine);
+  if (CommandComposer::reused_attempt_awaits_run(machine))
+    context_.fencing.prepare_run_again(machine);
+}
+
+void CommandDispatcher::prepare_rpc_token(state::Machine& machine) {
+  const bool clears_wanted =
+      machine.exited.size() >= k::kMaxPendingClears || context_.composer.run_awaits_clear(machine);
+  if (clears_wanted) context_.fencing.prepare_clear(machine);
+  if (CommandComposer::reused_attempt_awaits_run(machine))
+    context_.fencing.prepare_run_again(machine);
+}
+
 // --- replies to heartbeats ---------------------------------------------------------
 
 void CommandDispatcher::reply(state::Machine& machine, const net::Responder& respond) {
@@ -62,8 +93,10 @@
     machine.reply_carried_commands = false;
     commands = CommandComposer::cancellations(machine);
   } else {
+    prepare_reply_token(machine);
     commands = context_.composer.compose(machine, now, context_.lease.may_start_tasks());
     machine.reply_carried_commands = starts_or_stops(commands);
+    reconcile::Fencing::note_reply(machine, commands);
   }
   const bool effect_expected = machine.reply_carried_commands || !machine.synchronized;
   if (effect_expected && machine.unacknowledged_since == state::kNever)
@@ -101,14 +134,22 @@
       continue;
     }
     if (rpc_possible(machine)) {
+      prepare_rpc_token(machine);
       const auto commands = context_.composer.compose(machine, now, may_start_tasks);
       // Commands that only clear tasks can wait for the reply to the next heartbeat.
-      if (starts_or_stops(commands)) start_rpc(machine, commands);
+      if (starts_or_stops(commands) || clears_reused_attempt(machine, commands))
+        start_rpc(machine, commands);
     }
     ++it;
   }
 }
 
+bool CommandDispatcher::clears_reused_attempt(
+    const state::Machine& machine, const std::vector<wire::WorkerCommand>& commands) const {
+  return !commands.empty() && CommandComposer::reused_attempt_awaits_run(machine) &&
+         context_.composer.run_awaits_clear(machine);
+}
+
 void CommandDispatcher::start_rpc(state::Machine& machine,
                                   const std::vector<wire::WorkerCommand>& commands) {
   machine.rpc_in_flight = true;
@@ -118,6 +159,7 @@
   const std::uint64_t epoch = std::max<std::uint64_t>(1, machine.epoch);
   const bool carried_commands = !commands.empty();
   log_commands(machine, commands, "rpc");
+  reconcile::Fencing::note_rpc(machine, commands);
   context_.worker_rpc.send_commands(
       machine.addr, context_.fencing.token(machine), epoch, commands,
       scope_.wrap([this, id = machine.id, carried_commands](const clients::CommandResult& result) {
@@ -130,6 +172,7 @@
   using Outcome = clients::CommandResult::Outcome;
   --rpcs_in_flight_;
   mark_due();
+  log_result(machine_id, result);
   auto* machine = context_.model.find_machine(machine_id);
   if (machine == nullptr) return;
   const double now = context_.event_loop.now();
--- a/src/dispatch/command_dispatcher.hpp
+++ b/src/dispatch/command_dispatcher.hpp
@@ -60,6 +60,17 @@
   /// `channel`: how they are sent.
   void log_commands(const state::Machine& machine, const std::vector<wire::WorkerCommand>& commands,
                     std::string_view channel) const;
+  /// Logs the outcome of a command RPC at debug level.
+  static void log_result(const std::string& machine_id, const clients::CommandResult& result);
+  /// Raises the token of the reply to a heartbeat, if clears or runs that are due need that.
+  void prepare_reply_token(state::Machine& machine);
+  /// The same for a command RPC, only for what can't wait for the next heartbeat: the worker drops
+  /// a reply that arrives after an RPC with a higher token.
+  void prepare_rpc_token(state::Machine& machine);
+  /// Whether the commands clear an attempt that is to run on the machine once more, so that they
+  /// are sent by RPC although they start and stop nothing.
+  [[nodiscard]] bool clears_reused_attempt(const state::Machine& machine,
+                                           const std::vector<wire::WorkerCommand>& commands) const;
   [[nodiscard]] bool rpc_possible(const state::Machine& machine) const;
   [[nodiscard]] static bool needs_synchronization(const state::Machine& machine, double now);
   void start_rpc(state::Machine& machine, const std::vector<wire::WorkerCommand>& commands);
--- a/src/placement/eligibility.cpp
+++ b/src/placement/eligibility.cpp
@@ -5,7 +5,8 @@
 bool is_usable(const state::Machine& machine, double now, const config::Settings& settings) {
   return machine.synchronized && !machine.unresponsive && machine.recorded() &&
          !machine.terminating && !machine.quarantined && !machine.interruption_at &&
-         !machine.has_unknown_jobs && now - machine.last_heartbeat < settings.heartbeat_timeout_s();
+         !machine.has_unknown_jobs && !machine.fences_running_out() &&
+         now - machine.last_heartbeat < settings.heartbeat_timeout_s();
 }
 
 bool may_ever_run(const state::Job& job, const state::Machine& machine) {
--- a/src/reconcile/heartbeat_reader.cpp
+++ b/src/reconcile/heartbeat_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <tuple>
 
 #include "config/constants.hpp"
@@ -26,9 +27,11 @@
                                    heartbeat.addr);
   record_if_new(machine);
   update_machine(machine, heartbeat, source, now);
+  const auto known_unrecorded = machine.unrecorded_tasks;
   state::Model::clear_heartbeat_content(machine);
   for (auto* task : machine.tasks) task->begin_heartbeat();
   for (const auto& status : heartbeat.tasks) read_task(machine, status, now);
+  log_unrecorded_tasks(machine, heartbeat, known_unrecorded);
   // While a command RPC is in flight, a heartbeat may be older than its effect
   // (docs/design.md, rule 2).
   if (machine.synchronized && !machine.rpc_in_flight) unassign_absent_tasks(machine);
@@ -66,7 +69,7 @@
   context_.model.mark_dirty(machine);
   // Only this leader can have sent this token to the worker. So the heartbeat was sent
   // after the takeover, or after the fence was raised, and older commands are void.
-  machine.synchronized = heartbeat.token >= context_.fencing.token(machine);
+  machine.synchronized = heartbeat.token >= context_.fencing.synchronizing_token(machine);
   machine.epoch_known = machine.epoch_known || machine.synchronized;
   if (heartbeat.interruption_in_s) machine.interruption_at = now + *heartbeat.interruption_in_s;
 }
@@ -104,6 +107,17 @@
   }
 }
 
+void HeartbeatReader::log_unrecorded_tasks(const state::Machine& machine,
+                                           const wire::WorkerHeartbeat& heartbeat,
+                                           const std::vector<state::TaskAttempt>& known) {
+  for (const auto& task : machine.unrecorded_tasks) {
+    if (std::find(known.begin(), known.end(), task) != known.end()) continue;
+    spdlog::info("unrecorded task: task={} attempt={} machine={} token={} epoch={} sequence={}",
+                 wire::task_name(task.job, task.index), task.attempt, machine.id, heartbeat.token,
+                 heartbeat.epoch, heartbeat.sequence);
+  }
+}
+
 void HeartbeatReader::on_exit(state::Task& task, state::Machine& machine,
                               const wire::TaskStatus& status, double now) {
   machine.exited.push_back({status.job, status.index, status.attempt});
--- a/src/reconcile/heartbeat_reader.hpp
+++ b/src/reconcile/heartbeat_reader.hpp
@@ -65,6 +65,10 @@
   void read_task(state::Machine& machine, const wire::TaskStatus& status, double now);
   void read_unrecorded_task(state::Machine& machine, state::Job* job,
                             const wire::TaskStatus& status, double now);
+  /// Logs the unrecorded tasks that are not among `known`, those of the heartbeat before.
+  static void log_unrecorded_tasks(const state::Machine& machine,
+                                   const wire::WorkerHeartbeat& heartbeat,
+                                   const std::vector<state::TaskAttempt>& known);
   void on_exit(state::Task& task, state::Machine& machine, const wire::TaskStatus& status,
                double now);
   /// Reads an exit from a machine whose epoch is not known in this term.
--- a/src/reconcile/responsiveness.cpp
+++ b/src/reconcile/responsiveness.cpp
@@ -23,7 +23,7 @@
 
 bool Responsiveness::acknowledges_replies(const state::Machine& machine,
                                           const wire::WorkerHeartbeat& heartbeat) const {
-  if (heartbeat.token < fencing_.token(machine)) return false;
+  if (heartbeat.token < fencing_.synchronizing_token(machine)) return false;
   if (!machine.reply_carried_commands) return true;
   return std::all_of(machine.tasks.begin(), machine.tasks.end(), [&](const state::Task* task) {
     const bool run_unacknowledged =
--- a/src/state/machine.hpp
+++ b/src/state/machine.hpp
@@ -11,9 +11,11 @@
 #include <string>
 #include <vector>
 
+#include "config/constants.hpp"
 #include "sched/resources.hpp"
 #include "state/group_commit.hpp"
 #include "state/task.hpp"
+#include "wire/fencing_token.hpp"
 
 namespace elmstall::state {
 
@@ -22,6 +24,9 @@
   std::string job;            ///< identifier of the job
   std::uint32_t index = 0;    ///< index of the task within the job
   std::uint64_t attempt = 0;  ///< attempt number of the task
+
+  /// Whether both are the same attempt.
+  bool operator==(const TaskAttempt& other) const = default;
 };
 
 /// What unrecorded tasks on a machine take of one team's limit.
@@ -45,9 +50,9 @@
 
   std::uint64_t epoch = 0;     ///< epoch of the newest heartbeat
   std::uint64_t sequence = 0;  ///< sequence of the newest heartbeat within that epoch
-  /// The newest heartbeat carried the token of the machine's latest fence. So a task that it does
-  /// not list is not on the machine (rule 3). reconcile::Fencing and reconcile::LeaseExpiry reset
-  /// this.
+  /// The newest heartbeat carried at least the token of `synchronizing_fence`. So a task that it
+  /// does not list is not on the machine (rule 3). reconcile::Fencing and reconcile::LeaseExpiry
+  /// reset this.
   bool synchronized = false;
   /// The machine was synchronized at some time in this term, so that `epoch` can be relied on: a
   /// heartbeat of a later epoch shows that everything commanded in an earlier one is over (rule 3).
@@ -55,10 +60,19 @@
 
   // --- commands; set by dispatch::CommandDispatcher unless said otherwise ---
 
-  /// Counter that is part of the machine's fencing token. reconcile::Fencing raises it when it is
-  /// not known whether commands have reached the machine. They are void as soon as the machine has
-  /// received the higher token (rule 3).
+  /// Counter that is part of the machine's fencing token. reconcile::Fencing raises it to void
+  /// earlier commands, as soon as the machine has received the higher token (rules 3 and 4).
   std::uint32_t fence = 0;
+  /// The fence that a heartbeat must show for the machine to be synchronized: the last one that was
+  /// raised because it was not known whether commands had reached the machine. Set by
+  /// reconcile::Fencing.
+  std::uint32_t synchronizing_fence = 0;
+  /// The fence of the last command RPC that ran a task; none in this term if absent. Set by
+  /// reconcile::Fencing.
+  std::optional<std::uint32_t> run_fence;
+  /// The fence of the last message that cleared a task; none in this term if absent. Set by
+  /// reconcile::Fencing.
+  std::optional<std::uint32_t> clear_fence;
   bool rpc_in_flight = false;        ///< a command RPC to the machine has no outcome yet
   double rpc_completed_at = kNever;  ///< when the outcome of the last command RPC was known
   /// The reply to the last heartbeat carried commands to run or stop tasks. Nothing more is sent
@@ -142,6 +156,10 @@
   /// Model::restore_record(). Owned by GroupCommit.
   GroupCommit::Record* record = nullptr;
 
+  /// Whether so few fences of this term are left that the machine gets no new tasks.
+  [[nodiscard]] bool fences_running_out() const {
+    return fence >= wire::kMaxFence - constants::kFenceReserve;
+  }
   /// Whether the state store holds a record of the machine.
   [[nodiscard]] bool recorded() const { return record != nullptr && record->revision != 0; }
   /// Resources that no task takes. Planned and unrecorded tasks count as taking theirs (rule 7).
--- a/src/state/model.cpp
+++ b/src/state/model.cpp
@@ -270,6 +270,7 @@
   task.enter(TaskPhase::assigned);
   task.reported_state_ = wire::TaskState::fetching;
   machines_to_command_.insert(&machine);
+  task.attempt_reused_ = attempt == task.attempt_;
   task.attempt_ = attempt;
   mark_dirty(task);
   task.required_version_ = task.block->record->version;
--- a/src/state/task.hpp
+++ b/src/state/task.hpp
@@ -72,6 +72,9 @@
   [[nodiscard]] Machine* machine() const { return machine_; }
   /// Attempt number of the last start, 0 before the first. A number is never used twice (rule 1).
   [[nodiscard]] std::uint64_t attempt() const { return attempt_; }
+  /// Whether the attempt was given to a machine before the present one, or to this one before: only
+  /// a gang's task is replaced under the same number.
+  [[nodiscard]] bool attempt_reused() const { return attempt_reused_; }
   /// Version of the block's commit record that must be written before `run` is sent (rule 1).
   [[nodiscard]] std::uint64_t required_version() const { return required_version_; }
 
@@ -137,6 +140,7 @@
   TaskPhase phase_ = TaskPhase::pending;
   Machine* machine_ = nullptr;
   std::uint64_t attempt_ = 0;
+  bool attempt_reused_ = false;
   std::uint64_t required_version_ = 0;
   bool in_last_heartbeat_ = false;
   wire::TaskState reported_state_ = wire::TaskState::fetching;
--- a/tests/chaos_test.cpp
+++ b/tests/chaos_test.cpp
@@ -23,6 +23,7 @@
   world.network.loss = 0.02;
   // Every third seed has a larger fleet.
   if (GetParam() % 3 == 0) world.cloud.capacity = 60;
+  world.command_copies.plan(30, 280);
   int jobs = 0;
   std::vector<std::string> services;
   double next_fault = 30;
--- a/tests/command_rpc_test.cpp
+++ b/tests/command_rpc_test.cpp
@@ -26,6 +26,67 @@
   expect_no_violations(world);
 }
 
+/// Nor does the start of a task whose place was freed by one that ended.
+TEST(CommandRpc, AFreedPlaceIsTakenWithoutAHeartbeat) {
+  World world(34);
+  world.settings.heartbeat_interval_s = 6;  // of the workers
+  world.cloud.capacity = 1;
+  auto job = array(1, 12, 4);
+  job.image_gb = 0;
+  double freed_at = -1;
+  double longest = 0;
+  world.rules.on_event = [&](double now, const std::string& event) {
+    if (event.ends_with(" starts") && freed_at >= 0) longest = std::max(longest, now - freed_at);
+    if (event.ends_with(" starts")) freed_at = -1;
+    if (event.find(" is off ") != std::string::npos) freed_at = now;
+  };
+  world.submit(job);
+  world.run_until(60);
+  EXPECT_EQ(poll_reported_state(world, "job-1"), JobState::done);
+  // The worker reports the end within 0.5 s; the rest is a decision, a commit and an RPC.
+  EXPECT_LT(longest, 0.7) << "a place stayed free until the next heartbeat";
+  expect_no_violations(world);
+}
+
+/// Reports and calls of a machine in a minute, with tasks that end one after the other: what clears
+/// attempts must not need messages of its own.
+TEST(CommandRpc, ClearingTasksNeedsFewMessages) {
+  World world(35);
+  world.use_large_fleet_settings();
+  world.cloud.capacity = 4;
+  for (int job = 1; job <= 4; ++job) {
+    auto spec = array(job, 60, 12);
+    spec.image_gb = 0;
+    world.submit(spec);
+  }
+  world.run_until(60);
+  const auto totals = [&] {
+    std::pair<std::size_t, std::size_t> sums;
+    for (const auto& [id, worker] : world.workers) {
+      sums.first += worker->heartbeats_sent();
+      sums.second += worker->command_rpcs();
+    }
+    return sums;
+  };
+  const auto before = totals();
+  const auto starts_before = world.rules.starts();
+  constexpr double kMinutes = 3;
+  world.run_for(kMinutes * 60);
+  const auto after = totals();
+  const auto starts = static_cast<double>(world.rules.starts() - starts_before);
+  ASSERT_GT(starts, 60);
+  const double heartbeats = static_cast<double>(after.first - before.first);
+  const double rpcs = static_cast<double>(after.second - before.second);
+  RecordProperty("heartbeats_a_minute", std::to_string(heartbeats / kMinutes / 4));
+  RecordProperty("rpcs_a_minute", std::to_string(rpcs / kMinutes / 4));
+  RecordProperty("starts_a_minute", std::to_string(starts / kMinutes / 4));
+  // One call starts a task. A task's end, its start and its clearing are told by at most one
+  // heartbeat each; besides, heartbeats are sent every 10 s, and twice a lease for a higher token.
+  EXPECT_LE(rpcs, starts);
+  EXPECT_LE(heartbeats, 3 * starts + 4 * kMinutes * (60 / 7.5 + 2 * 60 / 45.0));
+  expect_no_violations(world);
+}
+
 /// A command RPC without a response may be carried out much later. Until the machine has shown a
 /// higher token, its task must not be assigned to another machine.
 TEST(CommandRpc, ALostCommandRpcIsFenced) {
--- a/tests/falling_limits_test.cpp
+++ b/tests/falling_limits_test.cpp
@@ -16,6 +16,7 @@
   World world(90'000 + seed, 3 + seed % 3, kLowerLimits);
   world.network.loss = 0.01;
   world.cloud.capacity = 40;
+  world.command_copies.plan(30, 165);
   std::string fault_log;
   int jobs = 0;
   const double lower_at = 40 + world.random() * 80;
--- a/tests/pairs_test.cpp
+++ b/tests/pairs_test.cpp
@@ -57,6 +57,8 @@
   for (std::size_t i = 0; i < world.node_count(); ++i)
     world.set_clock_rate(i, 1 + (world.random() - 0.5) * 0.001);
   const auto& faults = concurrent_faults();
+  // A fault beside the pairs, drawn apart from them.
+  world.command_copies.plan(35, 165);
   std::string fault_log;
   int jobs = 0;
   double next_pair = 35;
--- a/tests/production/upgrade_test.cpp
+++ b/tests/production/upgrade_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "production/adapter.hpp"
+#include "support/captured_command.hpp"
 #include "support/forwarding.hpp"
 #include "support/histories.hpp"
 #include "support/scenarios.hpp"
@@ -128,5 +129,31 @@
   }
 }
 
+/// Guards against starts by copies of commands that a leader of the production version sent.
+TEST(UpgradeStep, CopyOfAStartByTheEarlierLeaderRunsNothing) {
+  World world(954, 3, std::nullopt, make_production_node);
+  world.submit(service(1, 2));  // keeps a machine in each zone
+  world.run_until(50);
+  ASSERT_TRUE(world.other_version_leads());
+  const CapturedCommand start(world, wire::Verb::run);
+  auto job = array(2, 1, 60);
+  job.spot = false;
+  world.submit(job);
+  world.run_for(5);
+  ASSERT_NE(start.worker(), nullptr);
+  for (std::size_t node = 0; node < world.node_count(); ++node) {
+    world.upgrade(node);
+    world.crash(node, 1);
+  }
+  world.run_for(120);
+  ASSERT_NE(world.leader(), nullptr);
+  ASSERT_EQ(poll_reported_state(world, "job-2"), wire::JobState::done);
+  const auto starts = world.rules.starts();
+  start.repeat();
+  world.run_for(10);
+  EXPECT_EQ(world.rules.starts(), starts);
+  expect_no_violations(world);
+}
+
 }  // namespace
 }  // namespace elmstall::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -95,6 +95,11 @@
   expect_violation("ran_cancelled");
 }
 
+TEST_F(RulesTest, EffectOfACopy) {
+  new_checker(job_).record_effect_of_copy(1, {wire::Verb::run, "job-1", 0, 1, 0}, "host-1");
+  expect_violation("copy_took_effect");
+}
+
 TEST_F(RulesTest, ForgottenAndInvented) {
   auto& rules = new_checker(job_);
   rules.record_not_found("job-1", 5);
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -22,7 +22,7 @@
     "cut_to_peer",   "cut_state",     "cut_from_state",  "cut_workers",       "cut_users",
     "delay",         "state_slow",    "state_refuses",   "state_out",         "unanswered",
     "late",          "watch_lag",     "heartbeats_lost", "heartbeats_copied", "responses_lost",
-    "commands_late", "commands_lost", "machines_hang",   "cancel_wave"};
+    "commands_late", "commands_lost", "commands_copied", "machines_hang",     "cancel_wave"};
 
 }  // namespace
 
--- a/tests/soak/plan.hpp
+++ b/tests/soak/plan.hpp
@@ -35,6 +35,7 @@
   responses_lost,     ///< some workers receive no response and no command
   commands_late,      ///< command RPCs are executed late, their replies are lost
   commands_lost,      ///< replies to command RPCs are lost
+  commands_copied,    ///< command RPCs that were answered arrive again, late
   machines_hang,      ///< some machines hang
   cancel_wave,        ///< users cancel many jobs at the same time
 };
--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -20,6 +20,7 @@
 /// From this number of machines on, workers send heartbeats less often.
 constexpr int kManyWorkers = 100;
 constexpr double kAffectedWorkerShare = 0.3;  // share
+constexpr double kCopiedCommandShare = 0.5;   // share
 constexpr std::size_t kCancelWaveSize = 8;    // jobs
 
 /// Short intervals, so that many leases and cancellations fit into a run.
@@ -328,6 +329,9 @@
     case FaultKind::commands_lost:
       world_.network.command_replies_lost = true;
       return run_after(fault.duration_s, [this] { world_.network.command_replies_lost = false; });
+    case FaultKind::commands_copied:
+      world_.command_copies.begin(kCopiedCommandShare);
+      return run_after(fault.duration_s, [this] { world_.command_copies.end(); });
     default:
       return cancel_many();
   }
@@ -353,6 +357,7 @@
   world_.restore_state_store();
   world_.network.command_delay_s = 0;
   world_.network.command_replies_lost = false;
+  world_.command_copies.end();
   for (auto& [id, worker] : world_.workers) {
     worker->heartbeats_dropped = worker->responses_dropped = false;
     worker->duplicate_share = 0;
--- a/tests/support/fake_state.cpp
+++ b/tests/support/fake_state.cpp
@@ -153,7 +153,8 @@
 
 template <typename Result>
 void FakeStore::exchange(std::function<Result()> execute, std::function<void(Result)> done,
-                         Result unavailable, Result lost, bool may_be_late) {
+                         Result unavailable, Result lost, bool may_be_late,
+                         std::function<void()> repeat) {
   const auto respond = [this, done = std::move(done), alive = std::weak_ptr<char>(alive_)](
                            double delay, Result result) {
     loop_.after(delay, [done, alive, result = std::move(result)] {
@@ -182,7 +183,8 @@
   }
   const double added_delay =
       faults.max_added_delay_s * std::uniform_real_distribution<double>(0, 1)(random_);
-  loop_.after(0.002 + added_delay / 2, [this, execute, respond, unavailable, added_delay] {
+  loop_.after(0.002 + added_delay / 2, [this, execute, respond, unavailable, added_delay, repeat] {
+    if (!state_.down && repeat && copies != nullptr) copies->repeat(repeat);
     respond(0.002 + added_delay / 2, state_.down ? unavailable : execute());
   });
 }
@@ -202,9 +204,14 @@
 
 void FakeStore::commit(wire::Transaction transaction,
                        std::function<void(store::CommitResult)> done) {
-  exchange<store::CommitResult>(
-      [this, transaction = std::move(transaction)] { return state_.commit(transaction); },
-      std::move(done), {Outcome::unavailable, 0, {}}, {}, true);
+  exchange<store::CommitResult>([this, transaction] { return state_.commit(transaction); },
+                                std::move(done), {Outcome::unavailable, 0, {}}, {}, true,
+                                [this, transaction] { commit_copy(transaction); });
+}
+
+void FakeStore::commit_copy(const wire::Transaction& transaction) {
+  if (state_.down || state_.commit(transaction).outcome != Outcome::ok) return;
+  for (const auto& write : transaction.writes) copies->written_keys.push_back(write.key);
 }
 
 void FakeStore::grant(double life_s, std::function<void(store::GrantResult)> done) {
@@ -212,12 +219,14 @@
       [this, life_s] {
         return store::GrantResult{Outcome::ok, state_.grant(life_s)};
       },
-      std::move(done), {Outcome::unavailable, 0}, {}, false);
+      std::move(done), {Outcome::unavailable, 0}, {}, false,
+      [this, life_s] { (void)state_.grant(life_s); });
 }
 
 void FakeStore::renew(std::uint64_t lease, std::function<void(Outcome)> done) {
   exchange<Outcome>([this, lease] { return state_.renew(lease) ? Outcome::ok : Outcome::missing; },
-                    std::move(done), Outcome::unavailable, Outcome::unknown, false);
+                    std::move(done), Outcome::unavailable, Outcome::unknown, false,
+                    [this, lease] { (void)state_.renew(lease); });
 }
 
 void FakeStore::watch(const std::string& prefix, std::uint64_t since, double hold_s,
--- a/tests/support/fake_state.hpp
+++ b/tests/support/fake_state.hpp
@@ -9,6 +9,7 @@
 
 #include "config/settings.hpp"
 #include "store/state_store.hpp"
+#include "support/message_copies.hpp"
 #include "support/virtual_time.hpp"
 
 namespace elmstall::test {
@@ -99,13 +100,18 @@
   /// The process of this node has ended: it receives no further responses.
   void disconnect() { alive_.reset(); }
   Faults faults;
+  /// Repeats transactions, grants and renewals that were answered; none if null.
+  MessageCopies* copies = nullptr;
 
  private:
   template <typename Result>
   void exchange(std::function<Result()> execute, std::function<void(Result)> done,
-                Result unavailable, Result lost, bool may_be_late);
+                Result unavailable, Result lost, bool may_be_late,
+                std::function<void()> repeat = {});
   void poll_watch(std::string prefix, std::uint64_t since, double until,
                   std::function<void(store::WatchResult)> done);
+  /// Applies the copy of a transaction, and notes what it writes.
+  void commit_copy(const wire::Transaction& transaction);
   [[nodiscard]] bool chance(double share) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
   }
--- a/tests/support/fake_transport.cpp
+++ b/tests/support/fake_transport.cpp
@@ -27,9 +27,11 @@
   if (!world_.network.peers_connected(self_, to)) return;
   if (!world_.reachable(to, processes_.at(self_).settings.zone)) return;
   // The transport may be destroyed before the message arrives; the processes outlive it.
-  world_.loop.after(0.002, [to, bytes = peer::encode(message), &processes = processes_] {
+  const auto arrive = [to, bytes = peer::encode(message), &processes = processes_] {
     if (processes.at(to).alive()) processes.at(to).receive(bytes);
-  });
+  };
+  world_.loop.after(0.002, arrive);
+  world_.message_copies.repeat(arrive);
 }
 
 }  // namespace elmstall::test
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -55,6 +55,7 @@
   const auto faults = process.store ? process.store->faults : FakeStore::Faults{};
   if (process.store) retired_stores_.push_back(std::move(process.store));
   process.store = std::make_unique<FakeStore>(world_.loop, world_.state, seed + 1);
+  process.store->copies = &world_.message_copies;
   process.store->faults = faults;
   if (!process.worker_rpc) process.worker_rpc = std::make_unique<FakeWorkerRpc>(world_, index);
   process.transport = std::make_unique<FakeTransport>(world_, *this, index);
--- a/tests/support/users.cpp
+++ b/tests/support/users.cpp
@@ -36,6 +36,9 @@
 void Users::deliver(std::size_t node, const net::Request& request, const Done& done) {
   auto& process = world_.processes.at(node);
   if (!process.alive()) return;
+  world_.message_copies.repeat([&process, request] {
+    if (process.alive()) process.request(request, [](const net::Response&) {});
+  });
   process.request(request, [this, done](const net::Response& response) {
     if (world_.random() < world_.network.loss) return;
     world_.loop.after(kOneWayDelay, [done, response] { done(response); });
--- a/tests/support/worker.cpp
+++ b/tests/support/worker.cpp
@@ -7,6 +7,13 @@
 using wire::EndCause;
 using wire::TaskState;
 
+namespace {
+
+/// Leases. A higher token counts as a change at most once in this time.
+constexpr double kTokenChangeInterval = 0.5;
+
+}  // namespace
+
 FakeWorker::FakeWorker(World& world, std::string id, std::string type, std::string zone, bool spot)
     : world_(world),
       id_(std::move(id)),
@@ -60,6 +67,13 @@
   if (!in_flight_) schedule_heartbeat(std::max(0.0, last_heartbeat_ + 0.5 - world_.loop.now()));
 }
 
+void FakeWorker::on_token_raised() {
+  const double now = world_.loop.now();
+  if (now < token_counted_at_ + kTokenChangeInterval * world_.settings.lease_s) return;
+  token_counted_at_ = now;
+  send_heartbeat_soon();
+}
+
 void FakeWorker::check_lease() {
   if (dead_) return;
   expire();  // the tasks of a hanging machine also end with its lease
@@ -123,12 +137,14 @@
 clients::CommandResult FakeWorker::on_command_rpc(
     std::uint64_t token, std::uint64_t epoch, const std::vector<wire::WorkerCommand>& commands) {
   using Outcome = clients::CommandResult::Outcome;
+  ++command_rpcs_;
   if (token < token_) return {Outcome::refused, make_heartbeat()};
   const bool token_changed = token > token_;
   token_ = token;
   if (epoch != epoch_) return {Outcome::refused, make_heartbeat()};
   execute_all(commands);
-  if (token_changed || !commands.empty()) send_heartbeat_soon();
+  if (token_changed) on_token_raised();
+  if (!commands.empty()) send_heartbeat_soon();
   return {Outcome::done, make_heartbeat()};
 }
 
@@ -161,6 +177,7 @@
 void FakeWorker::send_heartbeat() {
   const double sent = world_.loop.now();
   const auto heartbeat = make_heartbeat();
+  ++heartbeats_sent_;
   in_flight_ = true;
   sent_epoch_ = epoch_;
   last_heartbeat_ = sent;
@@ -226,7 +243,7 @@
   token_ = commands.token;
   lease_start_ = sent;
   execute_all(commands.commands);
-  if (token_changed) send_heartbeat_soon();
+  if (token_changed) on_token_raised();
 }
 
 void FakeWorker::execute(const wire::WorkerCommand& command) {
--- a/tests/support/worker.hpp
+++ b/tests/support/worker.hpp
@@ -50,6 +50,10 @@
   void set_gang_task_state(const TaskName& name, std::uint64_t serial, wire::TaskState state);
   /// `saved`: the task has saved its checkpoint.
   void end_gang_task(const TaskName& name, std::uint64_t serial, wire::EndCause cause, bool saved);
+  /// Number of heartbeats that it has sent on its own.
+  [[nodiscard]] std::size_t heartbeats_sent() const { return heartbeats_sent_; }
+  /// Number of command RPCs that it has received, without copies.
+  [[nodiscard]] std::size_t command_rpcs() const { return command_rpcs_; }
   /// It has sent a heartbeat.
   [[nodiscard]] bool has_sent_heartbeat() const { return sequence_ > 0; }
   /// The resources of its tasks that wait for their image.
@@ -96,6 +100,7 @@
   bool defer_while_hung(std::function<void()> fn);
   void drop_all_tasks();
   void send_heartbeat_soon();
+  void on_token_raised();
   void schedule_heartbeat(double delay);
 
   World& world_;
@@ -107,6 +112,8 @@
   double lease_start_ = 0;
   double hung_until_ = -1;
   double last_heartbeat_ = -10;
+  double token_counted_at_ = -1e9;  ///< when a higher token last counted as a change
+  std::size_t heartbeats_sent_ = 0, command_rpcs_ = 0;
   bool in_flight_ = false;
   bool cleared_ = false;  ///< the message that is being executed has cleared an attempt
   std::size_t node_ = 0;
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -41,6 +41,7 @@
       state(loop),
       cloud(*this),
       command_copies(*this, seed),
+      message_copies(loop, seed),
       users(*this),
       processes(*this, std::move(other)) {
   machine_types = {{"m12", 12, 2, 96, 90, 0.5, 6, 2, 12, settings.zones}};
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -15,6 +15,7 @@
 #include "support/fake_cloud.hpp"
 #include "support/fake_state.hpp"
 #include "support/gangs.hpp"
+#include "support/message_copies.hpp"
 #include "support/network_faults.hpp"
 #include "support/processes.hpp"
 #include "support/rules.hpp"
@@ -124,6 +125,7 @@
   std::map<std::string, std::unique_ptr<FakeWorker>> workers;  ///< by id of the machine
   NetworkFaults network;
   CommandCopies command_copies;
+  MessageCopies message_copies;
   Users users;
   PeerTraffic peer_traffic;
 
