A gang that can't replace a lost task gives its places up

Cause: replace_lost_tasks returned while no machine took the replacement. The only bound counts from the moment at which a task waits for the others. No task does so when one was lost before the tasks were told to run.

Evidence: Gang.GivesUpItsPlacesWhenALostTaskFindsNone failed before with 3 places held, and passes now.

Fix: an attempt that finds no place for a lost task for gang_wait_s ends, as it does when its tasks wait. It breaks no rule: the next attempt is placed when no task of this one is on a machine.

--- a/src/placement/gang_attempts.cpp
+++ b/src/placement/gang_attempts.cpp
@@ -37,6 +37,7 @@
   gang.committed = false;
   gang.replacement_disabled = false;
   gang.gathering_since = std::numeric_limits<double>::infinity();
+  gang.lost_since = std::numeric_limits<double>::infinity();
   put_tasks_in_places(job, tasks, places, [&](state::Task& task, state::Machine& machine) {
     model_.assign(task, machine, gang.attempt);
   });
@@ -117,6 +118,10 @@
   gang.placement_tried_at = now;
   const auto lost_tasks = load_pending_gang_tasks(model_, job);
   if (!time_for_replacement(job, kNoFetch, now)) return end(job, "too late to replace", now);
+  // While no task waits for the others yet, nothing else bounds how long they keep their places.
+  gang.lost_since = std::min(gang.lost_since, now);
+  if (now >= gang.lost_since + settings_.gang_wait_s)
+    return end(job, "no place for a lost task", now);
   for (auto* task : lost_tasks) {
     if (task->not_before() > now) return;
     auto* machine = machine_for_replacement(job, with_room, now);
@@ -124,6 +129,7 @@
     spdlog::info("gang {}: task {} is replaced on machine {}", job.id, task->index, machine->id);
     model_.assign(*task, *machine, gang.attempt);
   }
+  gang.lost_since = std::numeric_limits<double>::infinity();
 }
 
 // --- end of an attempt -----------------------------------------------------------------------
--- a/src/state/gang.hpp
+++ b/src/state/gang.hpp
@@ -65,6 +65,8 @@
   /// The earliest time at which a task of the current attempt may have begun to wait for the
   /// others. Workers let a task wait for `gang_wait_s`. Infinity: none is known to wait.
   double gathering_since = std::numeric_limits<double>::infinity();
+  /// Since when a task of the current attempt is lost and not replaced. Infinity: none is.
+  double lost_since = std::numeric_limits<double>::infinity();
   /// A task completed in an earlier attempt, or in what may be an earlier epoch of its machine, so
   /// the whole gang is complete. The tasks of the current attempt must be ended before the gang is
   /// done.
--- a/src/state/model.hpp
+++ b/src/state/model.hpp
@@ -90,7 +90,7 @@
   /// recorded. `run` may be sent once Task::required_version() is written (rule 1).
   void assign(Task& task, Machine& machine);
   /// Does the same under the given attempt number, which the other tasks of a gang share. It must
-  /// be higher than any number that the task has had.
+  /// not be lower than any number that the task has had; a replaced task keeps its number.
   void assign(Task& task, Machine& machine, std::uint64_t attempt);
   /// Makes a task pending that certainly is on no machine any more: it was never sent there (rule
   /// 1), a synchronized machine does not list it (rule 3), it has exited in the machine's present
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -369,6 +369,32 @@
   expect_no_violations(world);
 }
 
+/// Guards against a gang that keeps its places for ever although it can't begin: it lost a task
+/// before its tasks were told to run, and no machine takes the replacement.
+TEST(Gang, GivesUpItsPlacesWhenALostTaskFindsNone) {
+  World world(860);
+  world.submit(gang(1, 4));
+  while (world.loop.now() < 60 && state_of(world, "job-1") != GangState::starting)
+    world.run_for(0.001);
+  ASSERT_EQ(state_of(world, "job-1"), GangState::starting);
+  auto& model = leader_model(world);
+  auto* job = job_at_leader(world, "job-1");
+  auto& lost = job->blocks.begin()->second->tasks[0];
+  ASSERT_FALSE(lost.run_sent());
+  model.unassign(lost);
+  world.cloud.capacity = 0;
+  for (const double end = world.loop.now() + world.settings.gang_wait_s + 10;
+       world.loop.now() < end; world.run_for(0.1)) {
+    for (auto& [id, machine] : model.machines()) machine->quarantined = true;
+  }
+  EXPECT_EQ(placed_tasks(world, "job-1"), 0U) << "it holds places that others could use";
+  EXPECT_EQ(world.rules.starts(), 0U);
+  world.cloud.capacity = 20;
+  world.run_for(120);
+  EXPECT_EQ(poll_reported_state(world, "job-1"), JobState::done);
+  expect_no_violations(world);
+}
+
 TEST(Gang, AboveTheTeamLimitIsRejected) {
   World world(850);
   world.run_until(5);
