--- a/review/stand-2/cases.hpp
+++ b/review/stand-2/cases.hpp
@@ -16,5 +16,7 @@
 int closing_state_service(const Options& options);
 int stale_leader_deletes(const Options& options);
 int memory_of_groups(const Options& options);
+int group_over_limit(const Options& options);
+int empty_builds(const Options& options);
 
 }  // namespace review
--- a/review/stand-2/main.cpp
+++ b/review/stand-2/main.cpp
@@ -12,6 +12,8 @@
   const std::map<std::string, std::function<int(const Options&)>> cases{
       {"closing-state-service", review::closing_state_service},
       {"stale-leader-deletes", review::stale_leader_deletes},
+      {"group-over-limit", review::group_over_limit},
+      {"empty-builds", review::empty_builds},
       {"memory-of-groups", review::memory_of_groups},
   };
   if (argc != 5 || !cases.contains(argv[1])) {
--- a/review/stand-2/memory_of_groups.cpp
+++ b/review/stand-2/memory_of_groups.cpp
@@ -98,7 +98,7 @@
     job.pull_gb = 1;
     job.loaners = false;
     job.expect_s = 30;
-    fleet_.jobs[job.uid] = {job, 30, 1, {}};
+    fleet_.jobs[job.uid] = {job, 30, 1, {}, {}};
     until_answered("submit " + job.uid + " as " + job.shape, "/api/jobs", pack(job),
                    static_cast<std::size_t>(n));
   }
@@ -110,7 +110,7 @@
     job.owner = "dueskeepers";
     job.rank = "critical";
     job.shards = 3;
-    fleet_.jobs[job.uid] = {job, 3, 1, {}};
+    fleet_.jobs[job.uid] = {job, 3, 1, {}, {}};
     until_answered("submit " + job.uid, "/api/jobs", pack(job), 0);
     fleet_.run.after(3, [this] { poll(0); });
   }
--- a/review/stand-2/platform.cpp
+++ b/review/stand-2/platform.cpp
@@ -588,12 +588,18 @@
 
 std::string pack(const JobForm& job) {
   wire::Packer packer;
-  packer.map(17).key("uid").text(job.uid).key("lane").text(job.lane).key("owner").text(job.owner);
+  packer.map(18).key("uid").text(job.uid).key("lane").text(job.lane).key("owner").text(job.owner);
   packer.key("shape").text(job.shape).key("rank").text(job.rank).key("shards").integer(job.shards);
   packer.key("cores").number(job.cores).key("cards").number(job.cards);
   packer.key("ram_gb").number(job.ram_gb).key("bundle").text("img-01");
   packer.key("pull_gb").number(job.pull_gb).key("together").flag(job.together);
   packer.key("scatter").flag(job.scatter).key("loaners").flag(job.loaners);
+  packer.key("builds");
+  if (job.builds) {
+    packer.texts(*job.builds);
+  } else {
+    packer.null();
+  }
   packer.key("expect_s").number(job.expect_s);
   packer.key("mark_every_s").number(0).key("mark_s").number(0);
   return packer.take();
--- a/review/stand-2/platform.hpp
+++ b/review/stand-2/platform.hpp
@@ -226,11 +226,13 @@
 
 // A submission in the form of the protocol.
 struct JobForm {
-  std::string uid, lane, owner, shape = "batch", rank = "idle";
+  std::string uid = {}, lane = {}, owner = {}, shape = "batch", rank = "idle";
   std::uint64_t shards = 1;
   double cores = 5, cards = 1, ram_gb = 36;
   bool together = false, scatter = false, loaners = true;
   double pull_gb = 4, expect_s = 60;
+  // The allowed machine types; nothing: null, any type.
+  std::optional<std::vector<std::string>> builds = {};
 };
 std::string pack(const JobForm& job);
 // The field `status` of an answer to a user; empty if there is none.
--- a/review/stand-2/stale_leader_deletes.cpp
+++ b/review/stand-2/stale_leader_deletes.cpp
@@ -100,7 +100,7 @@
     job.loaners = false;
     job.pull_gb = 3;
     job.expect_s = 0;
-    fleet_.jobs[job.uid] = {job, 0, 1, {}};
+    fleet_.jobs[job.uid] = {job, 0, 1, {}, {}};
     send(fleet_.run, fleet_.controllers.port(0), "POST", "/api/jobs", pack(job), 5,
          [this](int status, const std::string& body) {
            fleet_.run.note("user: submit job-000412 -> " + std::to_string(status) + " " +
--- a/review/stand-2/worker.cpp
+++ b/review/stand-2/worker.cpp
@@ -54,7 +54,7 @@
 Worker::~Worker() {
   *living_ = false;
   for (const auto& [shard, task] : tasks_) {
-    if (task.status == "running" || task.status == "flushing")
+    if (task.status != "fetching" && task.status != "ended")
       events_.left(shard, task.attempt, host_.name);
   }
 }
@@ -77,7 +77,7 @@
 
 void Worker::expire() {
   for (const auto& [shard, task] : tasks_) {
-    if (task.status == "running" || task.status == "flushing")
+    if (task.status != "fetching" && task.status != "ended")
       events_.left(shard, task.attempt, host_.name);
   }
   if (!tasks_.empty()) run_.note(host_.name + ": the lease is over, tasks forgotten");
@@ -241,22 +241,50 @@
               (task.status == "ended" ? " refused: " + task.cause : ""));
   tasks_.emplace(shard, task);
   if (task.status == "ended") return;
-  const auto known = job->second;
-  run_.after(known.fetch_s, [this, living = living_, shard, serial, attempt, known] {
+  fetch(shard, task.serial, run_.now());
+}
+
+Worker::Task* Worker::find(const std::string& shard, std::uint64_t serial) {
+  const auto [first, last] = tasks_.equal_range(shard);
+  const auto it =
+      std::find_if(first, last, [&](const auto& one) { return one.second.serial == serial; });
+  return it == last || it->second.status == "ended" ? nullptr : &it->second;
+}
+
+void Worker::fetch(const std::string& shard, std::uint64_t serial, double since) {
+  auto* const task = find(shard, serial);
+  if (task == nullptr) return;
+  const auto& job = jobs_.at(shard.substr(0, shard.find('/')));
+  if (fetched(job, shard, run_.now() - since)) return begin(shard, serial, task->attempt);
+  run_.after(0.02, [this, living = living_, shard, serial, since] {
+    if (*living) fetch(shard, serial, since);
+  });
+}
+
+void Worker::begin(const std::string& shard, std::uint64_t serial, std::uint64_t attempt) {
+  auto& job = jobs_.at(shard.substr(0, shard.find('/')));
+  const bool group = job.form.shape == "group";
+  find(shard, serial)->status = group ? "gathering" : "running";
+  events_.began(shard, attempt, host_.name);
+  changed();
+  if (job.results.contains(shard)) return end_task(shard, serial, "done");
+  auto run = [this, living = living_, shard, serial, run_s = job.run_s] {
     if (!*living) return;
-    const auto [from, to] = tasks_.equal_range(shard);
-    const auto it =
-        std::find_if(from, to, [&](const auto& one) { return one.second.serial == serial; });
-    if (it == to || it->second.status != "fetching") return;
-    it->second.status = "running";
-    events_.began(shard, attempt, host_.name);
+    auto* const task = find(shard, serial);
+    if (task == nullptr) return;
+    task->status = "running";
     changed();
-    if (job_results(shard).contains(shard)) return end_task(shard, serial, "done");
-    if (known.run_s <= 0) return;
-    run_.after(known.run_s, [this, living, shard, serial] {
+    if (run_s <= 0) return;
+    run_.after(run_s, [this, living, shard, serial] {
       if (*living) end_task(shard, serial, "done");
     });
-  });
+  };
+  if (!group) return run();
+  // The tasks of a group start together. They end together as well, after the same time.
+  auto& waiting = job.gathered[attempt];
+  waiting.push_back(run);
+  if (waiting.size() < job.form.shards) return;
+  for (const auto& start : waiting) start();
 }
 
 void Worker::end_task(const std::string& shard, std::uint64_t serial, const std::string& cause) {
@@ -264,7 +292,7 @@
   const auto it =
       std::find_if(first, last, [&](const auto& one) { return one.second.serial == serial; });
   if (it == last || it->second.status == "ended") return;
-  if (it->second.status == "running") events_.left(shard, it->second.attempt, host_.name);
+  if (it->second.status != "fetching") events_.left(shard, it->second.attempt, host_.name);
   if (cause == "done") job_results(shard).insert(shard);
   it->second.status = "ended";
   it->second.cause = cause;
--- a/review/stand-2/worker.hpp
+++ b/review/stand-2/worker.hpp
@@ -17,9 +17,11 @@
 // What workers know of a job whose description its user has uploaded.
 struct KnownJob {
   JobForm form;
-  double run_s = 60;              // 0: runs until it is stopped
-  double fetch_s = 2;             // for the image
-  std::set<std::string> results;  // its completed tasks
+  double run_s = 60;                   // 0: runs until it is stopped
+  double fetch_s = 2;                  // for the image
+  std::set<std::string> results = {};  // its completed tasks
+  // Tasks of a group that wait for the others, by attempt: how each of them begins to run.
+  std::map<std::uint64_t, std::vector<std::function<void()>>> gathered = {};
 };
 
 // What happens to tasks, for the judge. `where` is the worker's name.
@@ -46,6 +48,13 @@
   std::uint64_t baton() const { return baton_; }
   // Whether orders under this token reach the worker. Others are held, as in a cut.
   std::function<bool(std::uint64_t baton)> admits = [](std::uint64_t) { return true; };
+  // Whether a task that has waited so long for its image has it.
+  std::function<bool(const KnownJob& job, const std::string& shard, double waited_s)> fetched =
+      [](const KnownJob& job, const std::string&, double waited_s) {
+        return waited_s >= job.fetch_s;
+      };
+  // When the last report was sent.
+  double last_report() const { return last_report_; }
   bool verbose = true;
   // The machine is cut off: what is sent to it, and what it sends, is delivered when the cut ends.
   bool cut = false;
@@ -67,6 +76,10 @@
   void changed() { changed_ = true; }
   void execute(const elmstall::wire::Object& orders);
   void run_task(const std::string& shard, std::uint64_t attempt);
+  void fetch(const std::string& shard, std::uint64_t serial, double since);
+  void begin(const std::string& shard, std::uint64_t serial, std::uint64_t attempt);
+  // The task with this serial that has not ended, or null.
+  Task* find(const std::string& shard, std::uint64_t serial);
   void end_task(const std::string& shard, std::uint64_t serial, const std::string& cause);
   void expire();
   std::string pack_report();
