A gang's tasks are loaded only when there are places for them

Cause: GangCoordinator::place() loaded all blocks of a waiting gang before it looked for places, and kept them.

Change: places are searched for with the number of tasks. Blocks are loaded for an attempt, for a claim, or as far as a reservation has places, and unloaded again if none of their tasks was used. Tasks in memory are counted (state::TaskBudget), and a gang that the budget has no room for waits. A heartbeat loads no block. The members of a task are ordered by size.

--- a/src/autoscaler/zone_planner.cpp
+++ b/src/autoscaler/zone_planner.cpp
@@ -107,12 +107,10 @@
                                                const wire::MachineType& machine_type) {
   const auto packed = tasks_per_machine(job.need, machine_type);
   if (!packed) return 0;
-  double waiting = 0;
-  for (const auto& [number, block] : job.blocks) {
-    waiting += static_cast<double>(
-        std::count_if(block->tasks.begin(), block->tasks.end(),
-                      [](const state::Task& task) { return task.is_pending(); }));
-  }
+  // A gang needs room for all its tasks at once. Of other large jobs one window counts at a time.
+  const std::uint32_t waiting = job.is_gang()
+                                    ? job.waiting_tasks()
+                                    : std::min<std::uint32_t>(job.waiting_tasks(), k::kWindowTasks);
   return std::ceil(waiting / *packed);
 }
 
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -121,6 +121,22 @@
 /// Slots. Number of slots that the ledger log fills before the first one is overwritten.
 inline constexpr std::size_t kInitialSlots = 8;
 
+// --- state: tasks in memory --------------------------------------------------------------------
+/// Bytes in a MB of the settings' `memory_mb`.
+inline constexpr double kBytesPerMb = 1024.0 * 1024.0;
+/// Share of the process's memory that the tasks of a leader may take.
+inline constexpr double kTaskMemoryShare = 0.3;
+/// Bytes. Upper bound of what a running task takes of a leader's memory: the task itself, its
+/// places in queues and indexes, and its record in the mirror.
+inline constexpr std::size_t kTaskMemoryBytes = 320;
+/// Bytes. Upper bound of what a block takes beside its tasks.
+inline constexpr std::size_t kBlockMemoryBytes = 960;
+/// Ratio of the task budget to the part of it that is kept for jobs with nothing in memory.
+inline constexpr std::size_t kTaskReserveDivisor = 8;
+/// Share of the task budget that waiting tasks may use. The rest is for running ones, and for
+/// gangs, which are loaded whole.
+inline constexpr double kWaitingTasksShare = 0.25;
+
 // --- peer: connections between controllers -----------------------------------------------------
 /// Bytes. Largest message between controllers.
 inline constexpr std::size_t kMaxPeerMessageBytes = std::size_t{256} * 1024;
@@ -329,7 +345,8 @@
 /// Steps. Largest number of steps by which an objective is postponed.
 inline constexpr int kMaxTier = 8;
 /// Tasks. Largest number of tasks of one job that are in queues at the same time. Further blocks of
-/// a large job, which may have 100,000 tasks, are added as they are needed.
+/// a large job, which may have 100,000 tasks, are added as they are needed. There are fewer while
+/// the tasks of many jobs wait, see placement/task_windows.hpp.
 inline constexpr std::size_t kWindowTasks = 256;
 
 // --- placement: preemption ---------------------------------------------------------------------
--- a/src/placement/gang_attempts.cpp
+++ b/src/placement/gang_attempts.cpp
@@ -48,8 +48,10 @@
 bool GangAttempts::is_committed(state::Job& job) {
   auto& gang = job.gang;
   if (gang.committed) return true;
+  // After a takeover, blocks that the former leader did not record are not in memory.
+  if (!gang_in_memory(job)) return false;
   // All tasks are checked until they are committed; from then on the result is cached.
-  const auto tasks = load_gang_tasks(model_, job);
+  const auto tasks = gang_tasks_in_memory(job);
   gang.committed = std::all_of(tasks.begin(), tasks.end(), [&](const state::Task* task) {
     return task->may_be_on_machine() && task->attempt() == gang.attempt &&
            task->block->record->written >= task->required_version();
@@ -58,7 +60,8 @@
 }
 
 void GangAttempts::advance_start(state::Job& job, const state::MachineSet& with_room, double now) {
-  const auto tasks = load_gang_tasks(model_, job);
+  if (!load_gang(model_, job)) return end(job, "no memory for all its tasks", now);
+  const auto tasks = gang_tasks_in_memory(job);
   if (std::all_of(tasks.begin(), tasks.end(), is_running))
     return change_gang_state(job, GangState::running, now);
   if (std::none_of(tasks.begin(), tasks.end(), is_lost)) return;
@@ -75,7 +78,7 @@
 bool GangAttempts::others_still_waiting(state::Job& job) const {
   // A heartbeat shows an earlier state. Therefore each of the other tasks must have been reported
   // as waiting in a heartbeat that was sent after the machine received the command to run it.
-  const auto tasks = load_gang_tasks(model_, job);
+  const auto tasks = gang_tasks_in_memory(job);
   return std::all_of(tasks.begin(), tasks.end(), [](const state::Task* task) {
     if (!task->may_be_on_machine() || !task->run_sent()) return true;
     const bool waits = task->reported_state() == TaskState::fetching ||
@@ -116,7 +119,7 @@
   auto& gang = job.gang;
   if (now < gang.placement_tried_at + constants::kGangRetryInterval) return;
   gang.placement_tried_at = now;
-  const auto lost_tasks = load_pending_gang_tasks(model_, job);
+  const auto lost_tasks = pending_gang_tasks(job);
   if (!time_for_replacement(job, kNoFetch, now)) return end(job, "too late to replace", now);
   // While no task waits for the others yet, nothing else bounds how long they keep their places.
   gang.lost_since = std::min(gang.lost_since, now);
@@ -137,7 +140,7 @@
 void GangAttempts::end(state::Job& job, const char* reason, double now) {
   spdlog::info("gang {} ends attempt {}: {}", job.id, job.gang.attempt, reason);
   change_gang_state(job, GangState::ending, now);
-  for (auto* task : load_gang_tasks(model_, job)) end_gang_task(model_, *task);
+  for (auto* task : gang_tasks_in_memory(job)) end_gang_task(model_, *task);
   if (job.on_machines == 0) finish(job, now);
 }
 
@@ -151,22 +154,26 @@
 }
 
 void GangAttempts::complete(state::Job& job, double now) {
-  for (const auto* task : load_gang_tasks(model_, job)) {
+  for (const auto* task : gang_tasks_in_memory(job)) {
     if (!task->has_run()) continue;
     estimates_.learn(job.spec.job_class, job.spec.expect_s, now - task->running_since());
     break;  // All tasks of a gang run for the same time, so one of them is enough.
   }
-  for (const auto& [number, block] : job.blocks) {
-    // The model empties a block's list of tasks when the last of them completes, which ends the
-    // loop. So the tasks are reached by their position and the size is read each time.
-    std::size_t position = 0;
-    while (position < block->tasks.size()) {
-      auto& task = block->tasks[position++];
-      if (task.is_planned()) model_.unplan(task);
-      if (!task.is_done()) model_.complete(task);
-    }
-  }
+  // Blocks that are not in memory are loaded one by one: each takes little once it is complete.
+  for (std::uint32_t number = 0; number < job.block_count; ++number)
+    complete_block(model_.load_block(job, number, nullptr));
   change_gang_state(job, GangState::done, now);
 }
 
+void GangAttempts::complete_block(state::Block& block) {
+  // The model empties a block's list of tasks when the last of them completes, which ends the
+  // loop. So the tasks are reached by their position and the size is read each time.
+  std::size_t position = 0;
+  while (position < block.tasks.size()) {
+    auto& task = block.tasks[position++];
+    if (task.is_planned()) model_.unplan(task);
+    if (!task.is_done()) model_.complete(task);
+  }
+}
+
 }  // namespace elmstall::placement
--- a/src/placement/gang_attempts.hpp
+++ b/src/placement/gang_attempts.hpp
@@ -38,6 +38,8 @@
   void complete(state::Job& job, double now);
 
  private:
+  /// Records all tasks of one block as completed.
+  void complete_block(state::Block& block);
   /// Whether lost tasks may be assigned anew under the same attempt.
   [[nodiscard]] bool others_still_waiting(state::Job& job) const;
   /// Whether a replacement that needs `fetch_s` seconds for the image can join the other tasks
--- a/src/placement/gang_candidates.cpp
+++ b/src/placement/gang_candidates.cpp
@@ -1,6 +1,8 @@
 #include "placement/gang_candidates.hpp"
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 
 #include "config/constants.hpp"
@@ -51,6 +53,12 @@
   descriptions.push_back(std::move(candidate));
 }
 
+std::size_t GangCandidates::free_slots() const {
+  std::size_t slots = 0;
+  for (const auto& description : descriptions) slots += description.free_slots;
+  return slots;
+}
+
 double GangCandidateFinder::slots_of_smallest_task(const sched::Amount& room) const {
   const auto slots = sched::slots_in(room, model_.least_need());
   return static_cast<double>(std::min(kMaxCountedSlots, slots));
@@ -114,6 +122,22 @@
   return found;
 }
 
+bool GangCandidateFinder::machines_suffice(const state::Job& job, std::size_t task_count) const {
+  std::map<std::string, std::size_t> slots_by_zone;
+  for (const auto& [id, machine] : model_.machines()) {
+    if (!machine->terminating && state::Model::allowed_kind(job, *machine))
+      slots_by_zone[machine->zone] += sched::slots_in(machine->capacity, job.need);
+  }
+  const std::size_t zone_limit =
+      job.spec.spread ? sched::spread_limit(job.spec.tasks) : job.spec.tasks;
+  std::size_t slots = 0;
+  for (const auto& [zone, in_zone] : slots_by_zone) {
+    const auto usable = std::min(in_zone, zone_limit);
+    slots = job.spec.together ? std::max(slots, usable) : slots + usable;
+  }
+  return slots >= task_count;
+}
+
 std::optional<GangPlaces> place_gang_in_free_room(const state::Job& job, std::size_t task_count,
                                                   const GangCandidates& candidates) {
   return to_places(candidates,
--- a/src/placement/gang_candidates.hpp
+++ b/src/placement/gang_candidates.hpp
@@ -21,6 +21,8 @@
 
   /// Appends a machine and its description, which keeps both vectors in the same order.
   void add(state::Machine& machine, sched::GangCandidate candidate);
+  /// Number of the gang's tasks for which the machines together have free room.
+  [[nodiscard]] std::size_t free_slots() const;
 };
 
 /// A machine and the number of the gang's tasks that go there.
@@ -44,6 +46,9 @@
   /// All usable machines with room for at least one task, counting the room that preemption could
   /// make there.
   [[nodiscard]] GangCandidates preemptible_candidates(const state::Job& job, double now) const;
+  /// Whether all machines, those that still boot included, could hold this many tasks of the gang
+  /// if nothing else ran there.
+  [[nodiscard]] bool machines_suffice(const state::Job& job, std::size_t task_count) const;
 
  private:
   /// The machine as a candidate, without the room that preemption could make; empty if the gang may
--- a/src/placement/gang_claims.cpp
+++ b/src/placement/gang_claims.cpp
@@ -23,7 +23,7 @@
     reservation_ = kNoReservation;
     return;
   }
-  unplan_tasks(model_, load_gang_tasks(model_, *job));
+  unplan_tasks(model_, gang_tasks_in_memory(*job));
 }
 
 void GangClaims::release_reservation(const state::Job& job) {
@@ -31,12 +31,12 @@
 }
 
 void GangClaims::advance(state::Job& job, const state::MachineSet& with_room, double now) {
-  const auto tasks = load_gang_tasks(model_, job);
+  const auto tasks = gang_tasks_in_memory(job);
   const double longest_s =
       has_reservation(job) ? constants::kGangReserveMax : constants::kGangClaimMax;
   if (lost_place(job, tasks, now) || now > job.gang.since + longest_s)
     return release_claim(job, now);
-  if (has_reservation(job)) return extend_reservation(job, tasks, with_room, now);
+  if (has_reservation(job)) return extend_reservation(job, with_room, now);
   if (places_are_free(tasks)) start_on_claimed_places(job, tasks, now);
 }
 
@@ -50,7 +50,7 @@
 }
 
 void GangClaims::release_claim(state::Job& job, double now) {
-  unplan_tasks(model_, load_gang_tasks(model_, job));
+  unplan_tasks(model_, gang_tasks_in_memory(job));
   auto& gang = job.gang;
   if (has_reservation(job)) {
     reservation_ = kNoReservation;
@@ -62,12 +62,11 @@
 
 // --- claims by preemption --------------------------------------------------------------------
 
-bool GangClaims::claim_by_preemption(state::Job& job, const std::vector<state::Task*>& tasks,
-                                     double now) {
+bool GangClaims::claim_by_preemption(state::Job& job, std::size_t task_count, double now) {
   if (!budget_.try_consume(settings_, model_, job, now)) return false;
   job.searched_at = now;
-  const auto places = place_gang_by_preemption(job, tasks.size(),
-                                               candidate_finder_.preemptible_candidates(job, now));
+  const auto places =
+      place_gang_by_preemption(job, task_count, candidate_finder_.preemptible_candidates(job, now));
   if (!places) return false;
   std::vector<state::Task*> victims;
   for (const auto& place : *places) {
@@ -76,12 +75,13 @@
     if (!chosen) return false;
     victims.insert(victims.end(), chosen->begin(), chosen->end());
   }
+  if (!load_gang(model_, job)) return false;
   const double restart_after = now + constants::kPreemptPause;
   for (auto* victim : victims)
     stop_task(model_, *victim, StopMode::with_checkpoint, now, restart_after);
-  put_tasks_in_places(job, tasks, *places, [&](state::Task& task, state::Machine& machine) {
-    model_.plan(task, machine);
-  });
+  put_tasks_in_places(
+      job, pending_gang_tasks(job), *places,
+      [&](state::Task& task, state::Machine& machine) { model_.plan(task, machine); });
   change_gang_state(job, GangState::claiming, now);
   spdlog::info("gang {} preempts {} tasks", job.id, victims.size());
   return true;
@@ -111,26 +111,30 @@
   if (reservation_ != kNoReservation || now < job.submitted + constants::kGangReserveAfter ||
       now < job.gang.claim_after || candidates.machines.empty())
     return;
+  // Room that is kept for a gang which all machines together can't hold is of no use to anyone.
+  if (!candidate_finder_.machines_suffice(job, task_count)) return;
   reservation_ = job.serial;
   change_gang_state(job, GangState::claiming, now);
   spdlog::info("gang {} of {} tasks reserves the free room", job.id, task_count);
 }
 
-void GangClaims::extend_reservation(state::Job& job, const std::vector<state::Task*>& tasks,
-                                    const state::MachineSet& with_room, double now) {
+void GangClaims::extend_reservation(state::Job& job, const state::MachineSet& with_room,
+                                    double now) {
   const auto candidates = candidate_finder_.free_candidates(job, with_room);
-  if (gang_within_quota(job, tasks.size())) {
-    if (const auto places = place_gang_in_free_room(job, tasks.size(), candidates)) {
+  const std::size_t task_count = job.waiting_tasks();
+  if (gang_within_quota(job, task_count)) {
+    const auto places = place_gang_in_free_room(job, task_count, candidates);
+    if (places && load_gang(model_, job)) {
       release_reservation(job);
-      return attempts_.start(job, tasks, *places, now);
+      return attempts_.start(job, pending_gang_tasks(job), *places, now);
     }
   }
   choose_gang_zone(settings_, job, candidates, now);
-  plan_reserved_places(job, tasks, candidates);
+  plan_reserved_places(job, candidates);
 }
 
-void GangClaims::plan_reserved_places(const state::Job& job, const std::vector<state::Task*>& tasks,
-                                      const GangCandidates& candidates) {
+void GangClaims::plan_reserved_places(state::Job& job, const GangCandidates& candidates) {
+  const auto tasks = load_pending_gang_tasks(model_, job, candidates.free_slots());
   const auto required_zone = job.spec.together ? job.zone_choice : std::string();
   const auto zone_limit = job.spec.spread ? sched::spread_limit(job.spec.tasks) : job.spec.tasks;
   auto next = tasks.begin();
--- a/src/placement/gang_claims.hpp
+++ b/src/placement/gang_claims.hpp
@@ -6,6 +6,7 @@
 /// steady clock.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -32,8 +33,9 @@
   void begin_round();
   /// Claims places for all tasks of the gang by preempting other work; false if that is not
   /// possible, or no search may be made now.
-  bool claim_by_preemption(state::Job& job, const std::vector<state::Task*>& tasks, double now);
-  /// Gives the reservation to the gang if it has waited long enough and the reservation is free.
+  bool claim_by_preemption(state::Job& job, std::size_t task_count, double now);
+  /// Gives the reservation to the gang if it has waited long enough, the reservation is free, and
+  /// the machines that there are could hold the whole gang.
   void reserve(state::Job& job, std::size_t task_count, const GangCandidates& candidates,
                double now);
   /// Advances a gang in state `claiming` by one step: it starts when all its places have become
@@ -54,10 +56,8 @@
   /// Starts the gang on the places it has claimed.
   void start_on_claimed_places(state::Job& job, const std::vector<state::Task*>& tasks, double now);
   /// Starts the gang if there is room for all its tasks, else reserves the free room.
-  void extend_reservation(state::Job& job, const std::vector<state::Task*>& tasks,
-                          const state::MachineSet& with_room, double now);
-  void plan_reserved_places(const state::Job& job, const std::vector<state::Task*>& tasks,
-                            const GangCandidates& candidates);
+  void extend_reservation(state::Job& job, const state::MachineSet& with_room, double now);
+  void plan_reserved_places(state::Job& job, const GangCandidates& candidates);
   void release_claim(state::Job& job, double now);
 
   /// `reservation_` when no gang has one; serial numbers of jobs begin at 1.
--- a/src/placement/gang_coordinator.cpp
+++ b/src/placement/gang_coordinator.cpp
@@ -123,7 +123,7 @@
       attempts_.advance_start(job, with_room, now);
       return gang.state != GangState::running;
     case GangState::running:
-      if (!load_pending_gang_tasks(model_, job).empty()) attempts_.end(job, "a task was lost", now);
+      if (!pending_gang_tasks(job).empty()) attempts_.end(job, "a task was lost", now);
       return gang.state != GangState::running;
     case GangState::stopping:
     case GangState::ending:
@@ -140,20 +140,24 @@
 void GangCoordinator::place(state::Job& job, const state::MachineSet& with_room, double now) {
   auto& gang = job.gang;
   if (now < gang.placement_tried_at + constants::kGangRetryInterval) return;
-  const auto tasks = load_pending_gang_tasks(model_, job);
-  const bool may_start_now = std::all_of(tasks.begin(), tasks.end(), [&](const state::Task* task) {
-    return task->not_before() <= now;
-  });
-  if (!may_start_now || !gang_within_quota(job, tasks.size())) return;
+  unload_gang(model_, job);  // a claim may have loaded blocks that it did not use
+  // Only a task in memory may have to wait: others were never started.
+  const auto in_memory = pending_gang_tasks(job);
+  const bool may_start_now =
+      std::all_of(in_memory.begin(), in_memory.end(),
+                  [&](const state::Task* task) { return task->not_before() <= now; });
+  const std::size_t task_count = job.waiting_tasks();
+  if (!may_start_now || !gang_within_quota(job, task_count)) return;
   gang.placement_tried_at = now;
   const auto candidates = candidate_finder_.free_candidates(job, with_room);
-  if (const auto places = place_gang_in_free_room(job, tasks.size(), candidates)) {
+  if (const auto places = place_gang_in_free_room(job, task_count, candidates)) {
+    if (!load_gang(model_, job)) return;
     claims_.release_reservation(job);
-    return attempts_.start(job, tasks, *places, now);
+    return attempts_.start(job, pending_gang_tasks(job), *places, now);
   }
-  if (claims_.claim_by_preemption(job, tasks, now)) return;
+  if (claims_.claim_by_preemption(job, task_count, now)) return;
   choose_gang_zone(settings_, job, candidates, now);
-  claims_.reserve(job, tasks.size(), candidates, now);
+  claims_.reserve(job, task_count, candidates, now);
 }
 
 bool GangCoordinator::may_run(const state::Task& task) {
--- a/src/placement/gang_tasks.cpp
+++ b/src/placement/gang_tasks.cpp
@@ -22,18 +22,46 @@
   return tasks;
 }
 
-std::vector<state::Task*> load_gang_tasks(state::Model& model, state::Job& job) {
+bool gang_in_memory(const state::Job& job) { return job.blocks.size() == job.block_count; }
+
+bool load_gang(state::Model& model, state::Job& job) {
+  if (gang_in_memory(job)) return true;
+  if (!model.may_load_job(job)) {
+    spdlog::debug("gang {}: {} tasks are too many to be kept in memory now", job.id,
+                  job.spec.tasks);
+    return false;
+  }
   for (std::uint32_t number = 0; number < job.block_count; ++number)
     (void)model.load_block(job, number, nullptr);
-  return gang_tasks_in_memory(job);
+  return true;
 }
 
-std::vector<state::Task*> load_pending_gang_tasks(state::Model& model, state::Job& job) {
-  auto tasks = load_gang_tasks(model, job);
+std::vector<state::Task*> pending_gang_tasks(const state::Job& job) {
+  auto tasks = gang_tasks_in_memory(job);
   std::erase_if(tasks, [](const state::Task* task) { return !task->is_pending(); });
   return tasks;
 }
 
+std::vector<state::Task*> load_pending_gang_tasks(state::Model& model, state::Job& job,
+                                                  std::size_t count) {
+  std::vector<state::Task*> pending;
+  for (std::uint32_t number = 0; number < job.block_count && pending.size() < count; ++number) {
+    if (!model.may_load_block(job, number)) break;
+    for (auto& task : model.load_block(job, number, nullptr).tasks) {
+      if (task.is_pending() && pending.size() < count) pending.push_back(&task);
+    }
+  }
+  return pending;
+}
+
+void unload_gang(state::Model& model, state::Job& job) {
+  std::vector<std::uint32_t> untouched;
+  for (const auto& [number, block] : job.blocks) {
+    if (block->untouched()) untouched.push_back(number);
+  }
+  for (const auto number : untouched) model.unload_block(job, number);
+}
+
 void unplan_tasks(state::Model& model, const std::vector<state::Task*>& tasks) {
   for (auto* task : tasks) {
     if (task->is_planned()) model.unplan(*task);
--- a/src/reconcile/job_lifecycle.cpp
+++ b/src/reconcile/job_lifecycle.cpp
@@ -45,7 +45,7 @@
     context_.model.restore(block.tasks[task.index - block.first], *machine, task.attempt);
   }
   const bool all_done = std::all_of(block.done.begin(), block.done.end(), std::identity{});
-  if (all_done) block.tasks.clear();
+  if (all_done) context_.model.release_tasks(block);
 }
 
 void JobLifecycle::on_record_changed(const std::string& id) {
--- a/src/state/group_commit.hpp
+++ b/src/state/group_commit.hpp
@@ -73,6 +73,9 @@
   /// The block or machine is gone. `last` is the packed entry that records this; once it is written
   /// the record is dropped. The caller must not use the record again.
   void discard(Record& record, store::PackedEntry last);
+  /// Drops a record that was never marked dirty and is not in the log. The caller must not use the
+  /// record again.
+  void forget(Record& record) { drop(record); }
   /// The job is over: its final state must be written. Has no effect if the job is finishing
   /// already.
   void finish(Finalization finalization);
--- a/src/state/job.hpp
+++ b/src/state/job.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "config/constants.hpp"
 #include "config/settings.hpp"
 #include "sched/resources.hpp"
 #include "state/gang.hpp"
@@ -20,7 +21,8 @@
 namespace elmstall::state {
 
 /// A range of tasks of one job that are recorded together, as one entry of the ledger log. A block
-/// is loaded when one of its tasks is first needed (Model::load_block).
+/// is loaded when one of its tasks is first needed (Model::load_block), and may be unloaded again
+/// while it is untouched.
 struct Block {
   Job* job = nullptr;        ///< the job that the block belongs to
   std::uint32_t number = 0;  ///< position among the blocks of the job, from 0
@@ -34,6 +36,9 @@
   GroupCommit::Record* record = nullptr;
   /// Whether all tasks of the block are completed.
   [[nodiscard]] bool all_done() const { return tasks.empty(); }
+  /// Whether the block is as it was when it was first loaded: nothing of it was ever recorded, no
+  /// task is planned, and none has to wait. A block that is loaded anew is the same.
+  [[nodiscard]] bool untouched() const;
 };
 
 /// A job that has no recorded final state yet.
@@ -56,6 +61,9 @@
   /// Number of the next block that placement::JobQueues loads. All blocks with lower
   /// numbers are in memory.
   std::uint32_t next_block = 0;
+  /// Number of waiting tasks that placement::JobQueues keeps in memory. Set by
+  /// placement::TaskWindows.
+  std::size_t window = constants::kWindowTasks;
   std::uint32_t block_count = 0;     ///< number of blocks, in memory or not
   std::uint32_t finished_tasks = 0;  ///< number of completed tasks in the blocks in memory
   /// Number of tasks that are planned for a machine or may be on one.
@@ -84,6 +92,10 @@
   [[nodiscard]] bool is_gang() const { return spec.kind == wire::JobKind::gang; }
   /// Whether all tasks of the job are completed.
   [[nodiscard]] bool all_done() const { return finished_tasks == spec.tasks; }
+  /// Number of tasks that are neither completed nor planned or assigned, in memory or not.
+  [[nodiscard]] std::uint32_t waiting_tasks() const {
+    return spec.tasks - finished_tasks - on_machines;
+  }
 };
 
 /// Orders jobs by their serial numbers. They are never ordered by address, for the same reason as
--- a/src/state/model.cpp
+++ b/src/state/model.cpp
@@ -1,6 +1,7 @@
 #include "state/model.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "config/constants.hpp"
@@ -49,6 +50,8 @@
 void Model::remove_job(const std::string& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
+  for (const auto& [number, block] : found->second->blocks)
+    task_budget_.remove(TaskBudget::cost_of_block(block->tasks.size()));
   jobs_by_serial_.erase(found->second->serial);
   jobs_with_unqueued_tasks_.erase(found->second.get());
   finalizable_.erase(found->second.get());
@@ -80,6 +83,49 @@
   return block.all_done() ? nullptr : &block.tasks[index - block.first];
 }
 
+Task* Model::task_in_memory(Job& job, std::uint32_t index) const {
+  const auto size = store::block_size(settings_.state.value_kb);
+  const auto found = job.blocks.find(index / size);
+  if (index >= job.spec.tasks || found == job.blocks.end()) return nullptr;
+  auto& block = *found->second;
+  return block.all_done() ? nullptr : &block.tasks[index - block.first];
+}
+
+std::uint32_t Model::block_length(const Job& job, std::uint32_t number) const {
+  const auto size = store::block_size(settings_.state.value_kb);
+  return std::min(size, job.spec.tasks - number * size);
+}
+
+bool Model::may_load_block(const Job& job, std::uint32_t number) const {
+  if (job.blocks.contains(number)) return true;
+  const auto use = job.blocks.empty() ? TaskBudget::Use::first_block : TaskBudget::Use::more;
+  return task_budget_.allows(TaskBudget::cost_of_block(block_length(job, number)), use);
+}
+
+bool Model::may_load_job(const Job& job) const {
+  if (job.blocks.size() == job.block_count) return true;
+  // All blocks but the last one have the same length.
+  const auto blocks_missing = job.block_count - job.blocks.size();
+  const auto cost = TaskBudget::cost_of_block(block_length(job, 0));
+  return task_budget_.allows(blocks_missing * cost, TaskBudget::Use::more);
+}
+
+void Model::unload_block(Job& job, std::uint32_t number) {
+  const auto found = job.blocks.find(number);
+  if (found == job.blocks.end()) return;
+  const auto& block = *found->second;
+  task_budget_.remove(TaskBudget::cost_of_block(block.tasks.size()));
+  group_commit_.forget(*block.record);
+  job.blocks.erase(found);
+  job.next_block = std::min(job.next_block, number);
+}
+
+void Model::release_tasks(Block& block) {
+  task_budget_.remove(block.tasks.size());
+  block.tasks.clear();
+  block.tasks.shrink_to_fit();
+}
+
 Block& Model::load_block(Job& job, std::uint32_t number, const store::Mirror::Block* stored) {
   auto& entry = job.blocks[number];
   if (entry) return *entry;
@@ -89,7 +135,8 @@
   block.job = &job;
   block.number = number;
   block.first = number * size;
-  const auto count = std::min(size, job.spec.tasks - block.first);
+  const auto count = block_length(job, number);
+  task_budget_.add(TaskBudget::cost_of_block(count));
   block.done.assign(count, false);
   block.tasks.reserve(count);
   for (std::uint32_t i = 0; i < count; ++i) {
@@ -303,11 +350,7 @@
   ++task.job->finished_tasks;
   finalizable_.insert(task.job);
   mark_dirty(task);
-  if (std::all_of(block.done.begin(), block.done.end(), [](bool done) { return done; })) {
-    // From now on only the done bits of the block are recorded.
-    block.tasks.clear();
-    block.tasks.shrink_to_fit();
-  }
+  if (std::all_of(block.done.begin(), block.done.end(), std::identity{})) release_tasks(block);
 }
 
 void Model::add_unrecorded(Machine& machine, const Job& job) {
--- a/src/state/model.hpp
+++ b/src/state/model.hpp
@@ -17,6 +17,7 @@
 #include "state/job.hpp"
 #include "state/machine.hpp"
 #include "state/task.hpp"
+#include "state/task_budget.hpp"
 
 namespace elmstall::state {
 
@@ -30,6 +31,7 @@
   Model(const config::Settings& settings, GroupCommit& group_commit)
       : settings_(settings),
         group_commit_(group_commit),
+        task_budget_(settings.memory_mb),
         max_started_tasks_(store::max_started_tasks(settings.state_limits().value_kb)) {}
 
   // --- jobs ---
@@ -53,10 +55,25 @@
   /// The task with this index in the job. Null if the job has no such task, or if all tasks of its
   /// block are completed. Loads the block if necessary.
   [[nodiscard]] Task* task(Job& job, std::uint32_t index);
+  /// The same, but null also if the block is not in memory. A task that is recorded on a machine
+  /// always is.
+  [[nodiscard]] Task* task_in_memory(Job& job, std::uint32_t index) const;
   /// Returns the block with this number of the job, and loads it if it is not in memory
   /// yet. `stored` is the block as the mirror has it, or null if the block was never recorded. Done
-  /// bits and attempt numbers are taken from it; assignments are taken over by restore().
+  /// bits and attempt numbers are taken from it; assignments are taken over by restore(). Does not
+  /// check may_load_block().
   Block& load_block(Job& job, std::uint32_t number, const store::Mirror::Block* stored);
+  /// Whether the task budget permits to load this block of the job. True if it is in memory.
+  [[nodiscard]] bool may_load_block(const Job& job, std::uint32_t number) const;
+  /// Whether the task budget permits to load all blocks of the job.
+  [[nodiscard]] bool may_load_job(const Job& job) const;
+  /// Takes an untouched block out of memory, none of whose tasks may be in a queue.
+  void unload_block(Job& job, std::uint32_t number);
+  /// Destroys the tasks of a block all of which are completed. Only its done bits are recorded from
+  /// then on.
+  void release_tasks(Block& block);
+  /// The bound on the tasks in memory.
+  [[nodiscard]] const TaskBudget& task_budget() const { return task_budget_; }
 
   // --- machines ---
 
@@ -189,9 +206,12 @@
   /// Lowers the least need to that of the job where that is smaller.
   void include_need(const Job& job);
   [[nodiscard]] static store::BlockRecord record_of(const Block& block);
+  /// Number of tasks of the block with this number.
+  [[nodiscard]] std::uint32_t block_length(const Job& job, std::uint32_t number) const;
 
   const config::Settings& settings_;
   GroupCommit& group_commit_;
+  TaskBudget task_budget_;
   std::uint32_t max_started_tasks_;  ///< tasks of one block that can have an attempt at a time
   std::vector<wire::MachineType> machine_types_;
   std::uint64_t next_serial_ = 1;
--- a/src/state/task.cpp
+++ b/src/state/task.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <limits>
 
 #include "state/job.hpp"
 
@@ -86,7 +87,7 @@
 void Task::postpone(double until) { not_before_ = std::max(not_before_, until); }
 
 void Task::mark_failed(double retry_at) {
-  ++failures_;
+  if (failures_ < std::numeric_limits<std::uint16_t>::max()) ++failures_;
   not_before_ = retry_at;
 }
 
--- a/src/state/task.hpp
+++ b/src/state/task.hpp
@@ -37,7 +37,8 @@
 /// The name of the phase, for log lines.
 [[nodiscard]] const char* to_text(TaskPhase phase);
 
-/// A task of a block that is in memory. It is destroyed once all tasks of its block are completed.
+/// A task of a block that is in memory. It is destroyed once all tasks of its block are completed,
+/// or when a block that was never used is unloaded.
 class Task {
  public:
   /// Creates a pending task that was never started. `unique_id` must be unique in this leadership.
@@ -123,6 +124,11 @@
   /// How often the task has failed in this term.
   [[nodiscard]] int failures() const { return failures_; }
 
+  /// Whether the task is as it was created: pending, never started, and free to start at any time.
+  [[nodiscard]] bool untouched() const {
+    return is_pending() && attempt_ == 0 && not_before_ == kNever && failures_ == 0;
+  }
+
   /// Whether the task is in the queue of a sched::Group.
   [[nodiscard]] bool queued() const { return queued_; }
   /// Notes whether the task is in such a queue. Only placement::JobQueues calls this.
@@ -137,20 +143,21 @@
   /// Resets what is true only for one machine and attempt.
   void leave_machine();
 
+  // A leader may have tens of thousands of tasks: the small members share one word.
   TaskPhase phase_ = TaskPhase::pending;
+  wire::TaskState reported_state_ = wire::TaskState::fetching;
+  bool attempt_reused_ = false;
+  bool in_last_heartbeat_ = false;
+  bool completion_reported_ = false;
+  bool queued_ = false;
+  std::uint16_t failures_ = 0;
   Machine* machine_ = nullptr;
   std::uint64_t attempt_ = 0;
-  bool attempt_reused_ = false;
   std::uint64_t required_version_ = 0;
-  bool in_last_heartbeat_ = false;
-  wire::TaskState reported_state_ = wire::TaskState::fetching;
   double running_since_ = kNever;
   double grace_period_s_ = 0;
   double stop_sent_at_ = kNever;
   double not_before_ = kNever;
-  int failures_ = 0;
-  bool completion_reported_ = false;
-  bool queued_ = false;
 };
 
 /// Orders tasks by their identifiers. They are never ordered by address, because two runs of the
