The waiting tasks of all jobs together stay within the task budget

Cause: each array keeps a window of 256 waiting tasks in memory and in the queues, whatever the number of arrays; a job that is placed directly keeps its first block.

Change: when the windows of all jobs exceed a quarter of the task budget, placement::TaskWindows divides it once a second: jobs that can start a task now come first, in the order of the queues; each gets one block, and what is left goes to larger windows. Blocks beyond a job's window are unloaded if none of their tasks was used. A part of the budget is kept for jobs with nothing in memory, so that small work goes on beside large. Jobs placed directly unload a block they could not use once half of the budget is taken. Below these limits nothing changes.

--- a/src/placement/direct_placement.cpp
+++ b/src/placement/direct_placement.cpp
@@ -56,18 +56,27 @@
   auto progress = Progress::complete;
   const auto job_end = machines_examined_ + kExaminationsPerJob;
   for (std::uint32_t number = 0; number < job.block_count; ++number) {
-    for (auto& task : model_.load_block(job, number, nullptr).tasks) {
+    if (!model_.may_load_block(job, number)) return Progress::incomplete;
+    auto& block = model_.load_block(job, number, nullptr);
+    for (auto& task : block.tasks) {
       if (!task.is_pending()) continue;
       progress = Progress::incomplete;
       if (task.not_before() > now || !model_.recordable(task)) continue;
       if (machines_examined_ >= job_end) return progress;
       // All tasks of a job have the same needs: if this one can't be placed, nor can the others.
-      if (!place_task(task, now)) return progress;
+      if (place_task(task, now)) continue;
+      if (block.untouched() && tasks_are_many()) model_.unload_block(job, number);
+      return progress;
     }
   }
   return progress;
 }
 
+bool DirectPlacement::tasks_are_many() const {
+  const auto& budget = model_.task_budget();
+  return budget.used() > budget.limit() / 2;
+}
+
 bool DirectPlacement::place_task(state::Task& task, double now) {
   auto& job = *task.job;
   if (!state::Model::within_quota(job)) return false;
--- a/src/placement/direct_placement.hpp
+++ b/src/placement/direct_placement.hpp
@@ -41,6 +41,8 @@
   [[nodiscard]] std::vector<state::Job*> jobs_by_precedence(double now);
   [[nodiscard]] Progress place(state::Job& job, double now);
   [[nodiscard]] Progress place_tasks(state::Job& job, double now);
+  /// Whether so much of the task budget is in use that blocks without a started task are unloaded.
+  [[nodiscard]] bool tasks_are_many() const;
   /// Assigns one task to a machine, or makes room for it; false if neither is possible now.
   bool place_task(state::Task& task, double now);
   /// The machine with the best score among those with room for the job's next task, or null.
--- a/src/placement/job_queues.cpp
+++ b/src/placement/job_queues.cpp
@@ -90,13 +90,39 @@
   };
   for (const auto& [number, block] : job.blocks) add_block(*block);
   // The blocks of a large job are loaded into memory only as they are needed.
-  while (total.pending < constants::kWindowTasks && job.next_block < job.block_count) {
+  while (total.pending < job.window && job.next_block < job.block_count &&
+         model_.may_load_block(job, job.next_block)) {
     const auto number = job.next_block++;
     if (!job.blocks.contains(number)) add_block(model_.load_block(job, number, nullptr));
   }
   return total.complete && job.next_block >= job.block_count;
 }
 
+void JobQueues::update_windows(double now) {
+  for (auto* job : windows_.update(now)) unload_blocks(*job);
+}
+
+void JobQueues::unload_blocks(state::Job& job) {
+  std::size_t waiting = 0;
+  std::vector<std::uint32_t> untouched;
+  for (const auto& [number, block] : job.blocks) {
+    waiting += static_cast<std::size_t>(
+        std::count_if(block->tasks.begin(), block->tasks.end(),
+                      [](const state::Task& task) { return task.is_pending(); }));
+    if (block->untouched()) untouched.push_back(number);
+  }
+  while (!untouched.empty()) {
+    auto& block = *job.blocks.at(untouched.back());
+    // A block that the window has room for would be loaded again at once.
+    if (waiting < job.window + block.tasks.size()) return;
+    waiting -= block.tasks.size();
+    for (auto& task : block.tasks) dequeue(task);
+    model_.unload_block(job, untouched.back());
+    untouched.pop_back();
+    model_.jobs_with_unqueued_tasks().insert(&job);
+  }
+}
+
 void JobQueues::enqueue_jobs(double now) {
   auto& jobs = model_.jobs_with_unqueued_tasks();
   for (auto it = jobs.begin(); it != jobs.end();) {
--- a/src/placement/job_queues.hpp
+++ b/src/placement/job_queues.hpp
@@ -13,6 +13,7 @@
 
 #include "placement/queue_position.hpp"
 #include "placement/run_time_estimates.hpp"
+#include "placement/task_windows.hpp"
 #include "sched/group.hpp"
 #include "state/model.hpp"
 
@@ -27,7 +28,10 @@
   /// All arguments have to outlive this object.
   JobQueues(const config::Settings& settings, state::Model& model,
             const RunTimeEstimates& estimates)
-      : settings_(settings), model_(model), estimates_(estimates) {}
+      : settings_(settings),
+        model_(model),
+        estimates_(estimates),
+        windows_(settings, model, estimates) {}
 
   /// The group that the machine belongs to; it is created when there is none.
   [[nodiscard]] sched::Group& group_of(const state::Machine& machine);
@@ -36,6 +40,9 @@
   /// Moves tasks that had no eligible machine to the queues of machines added since then.
   void distribute_shared_queues();
 
+  /// Divides the memory for waiting tasks among the jobs, once per `constants::kReorderInterval`,
+  /// and unloads blocks of jobs that have more than their share.
+  void update_windows(double now);
   /// Puts the pending tasks of all jobs in Model::jobs_with_unqueued_tasks() into the queues. Jobs
   /// with nothing left to put there are removed from that set.
   void enqueue_jobs(double now);
@@ -65,6 +72,8 @@
 
   /// Whether a machine, given by its name, may ever run a task.
   [[nodiscard]] sched::Eligible eligibility();
+  /// Unloads untouched blocks of the job that its window has no room for.
+  void unload_blocks(state::Job& job);
   EnqueueResult enqueue_block(state::Job& job, state::Block& block, double now);
   /// Returns true when all pending tasks of the job are queued.
   bool enqueue_job(state::Job& job, double now);
@@ -75,6 +84,7 @@
   const config::Settings& settings_;
   state::Model& model_;
   const RunTimeEstimates& estimates_;
+  TaskWindows windows_;
   std::map<std::string, sched::Group> groups_;
   std::size_t moved_tasks_ = 0;
   double next_reorder_ = state::kNever;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -23,6 +23,7 @@
   machines_.update(now);
   preemption_.assign_planned(now);
   direct_placement_.place_jobs(now);
+  queues_.update_windows(now);
   queues_.enqueue_jobs(now);
   queues_.reorder_and_balance(now);
   starter_.start_where_cached(now);
--- a/tests/accepted_work_test.cpp
+++ b/tests/accepted_work_test.cpp
@@ -61,5 +61,34 @@
   expect_starts_without_violations(world);
 }
 
+/// Guards against a leader that ends for memory on many arrays, each of which has its window of
+/// tasks in the queues.
+TEST(AcceptedWork, ManyLargeArraysHaveABoundedNumberOfTasksInMemory) {
+  World world(5601);
+  constexpr int kJobs = 600;
+  for (int number = 1; number <= kJobs; ++number) world.submit(array(number, kLargestJob));
+  EXPECT_LT(most_tasks_in_memory_until(world, 60), kMostTasksInMemory);
+  expect_small_work_done(world, kJobs + 1);
+  world.crash(leader_index(world), 8);
+  EXPECT_LT(most_tasks_in_memory_until(world, world.loop.now() + 30), kMostTasksInMemory);
+  expect_small_work_done(world, kJobs + 2);
+  expect_starts_without_violations(world);
+}
+
+/// The same for many services that there is no room for.
+TEST(AcceptedWork, ManyLargeServicesHaveABoundedNumberOfTasksInMemory) {
+  World world(5602);
+  constexpr int kJobs = 2000;
+  for (int number = 1; number <= kJobs; ++number)
+    world.submit(service_in_any_zone(number, kLargestJob));
+  EXPECT_LT(most_tasks_in_memory_until(world, 60), kMostTasksInMemory);
+  world.crash(leader_index(world), 8);
+  EXPECT_LT(most_tasks_in_memory_until(world, world.loop.now() + 30), kMostTasksInMemory);
+  poll_jobs(world, {"job-1", "job-2000"}, 2);
+  EXPECT_EQ(world.last_reported_state("job-1"), JobState::running);
+  EXPECT_EQ(world.last_reported_state("job-2000"), JobState::queued);
+  expect_starts_without_violations(world);
+}
+
 }  // namespace
 }  // namespace elmstall::test
