The scaling plan adds any number of machines in one step

Cause: the plan added the missing machines one by one, each time to the smallest pool: a thousand waiting jobs of 100,000 tasks lack some 50 million machines, planned anew every second. From 2^31 machines on, the number overflowed.

Change: the smallest pools are levelled at once, and no plan is for more than a million machines. The result is the same as before, shown against the one-by-one model over 2,000 random plans.

--- a/src/autoscaler/zone_planner.cpp
+++ b/src/autoscaler/zone_planner.cpp
@@ -44,7 +44,8 @@
   plan.demand = demand_by_zone(machine_type, now);
   for (const auto& [zone, demand] : plan.demand) {
     const double available = free_machines(machine_type, pools, zone, demand, now);
-    const auto missing = static_cast<int>(std::ceil(demand.machines - available - kRoundingSlack));
+    const double shortage = std::min(demand.machines - available, k::kMaxMachinesPlanned);
+    const auto missing = static_cast<int>(std::ceil(shortage - kRoundingSlack));
     if (missing <= 0) continue;
     if (const auto* pool = usable_pool(pools, zone, demand); pool != nullptr) {
       plan.scale_outs.push_back({key_of(*pool), missing});
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -389,6 +389,9 @@
 inline constexpr double kAutoscaleInterval = 1.0;
 /// Seconds. Interval at which the cloud's machine list is read.
 inline constexpr double kListInterval = 5.0;
+/// Machines. Largest number that one plan provides for: the demand of accepted work may exceed what
+/// an `int` can hold.
+inline constexpr double kMaxMachinesPlanned = 1e6;
 /// Machines. Largest number of machines in one provision request.
 inline constexpr int kMaxMachinesPerProvision = 50;
 /// Machines. Largest number of machines in one termination request.
--- a/src/sched/scaling_plan.cpp
+++ b/src/sched/scaling_plan.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <cstdint>
 
+#include "config/constants.hpp"
+
 namespace elmstall::sched {
 namespace {
 
@@ -15,7 +18,8 @@
 constexpr double kRoundingSlack = 1e-6;
 
 int whole_machines(double machines) {
-  return static_cast<int>(std::ceil(machines - kRoundingSlack));
+  return static_cast<int>(
+      std::ceil(std::min(machines, constants::kMaxMachinesPlanned) - kRoundingSlack));
 }
 
 int total_machines(const std::vector<Pool>& pools, Kind kind) {
@@ -26,24 +30,51 @@
   return sum;
 }
 
-/// Adds `count` machines one by one to the smallest pool of the kind that is not blocked, in
-/// `extra`, which has one number for each pool. Returns how many could not be added.
+/// A pool that machines are added to.
+struct Growing {
+  std::size_t index = 0;  ///< position among the pools
+  std::int64_t size = 0;  ///< its machines, with those added
+};
+
+/// The pools of the kind that are not blocked, the smallest first.
+std::vector<Growing> growing_pools(const std::vector<Pool>& pools, Kind kind,
+                                   const std::vector<int>& extra) {
+  std::vector<Growing> growing;
+  for (std::size_t i = 0; i < pools.size(); ++i) {
+    if (kind_of(pools[i]) == kind && !pools[i].blocked)
+      growing.push_back({i, pools[i].alive + pools[i].booting + extra[i]});
+  }
+  std::stable_sort(growing.begin(), growing.end(),
+                   [](const Growing& a, const Growing& b) { return a.size < b.size; });
+  return growing;
+}
+
+/// Adds `count` machines to the smallest pools of the kind that are not blocked, in `extra`, which
+/// has one number for each pool: the result is as if each machine were added to the pool that is
+/// the smallest by then. Returns how many could not be added. The work does not depend on `count`,
+/// which may be in the millions.
 int distribute(const std::vector<Pool>& pools, Kind kind, int count, std::vector<int>& extra) {
-  const auto size = [&](std::size_t pool) {
-    return pools[pool].alive + pools[pool].booting + extra[pool];
-  };
-  const std::size_t none = pools.size();
-  while (count > 0) {
-    std::size_t smallest = none;
-    for (std::size_t i = 0; i < pools.size(); ++i) {
-      if (kind_of(pools[i]) != kind || pools[i].blocked) continue;
-      if (smallest == none || size(i) < size(smallest)) smallest = i;
-    }
-    if (smallest == none) break;
-    ++extra[smallest];
-    --count;
+  const auto growing = growing_pools(pools, kind, extra);
+  if (growing.empty() || count <= 0) return count;
+  // The smallest pools, `levelled` of them, grow to the same size.
+  std::int64_t total = count + growing.front().size;
+  std::size_t levelled = 1;
+  while (levelled < growing.size() &&
+         growing[levelled].size * static_cast<std::int64_t>(levelled) < total)
+    total += growing[levelled++].size;
+  const auto pool_count = static_cast<std::int64_t>(levelled);
+  const auto level = total / pool_count;
+  auto remainder = total % pool_count;
+  std::vector<Growing> smallest(growing.begin(),
+                                growing.begin() + static_cast<std::ptrdiff_t>(levelled));
+  std::sort(smallest.begin(), smallest.end(),
+            [](const Growing& a, const Growing& b) { return a.index < b.index; });
+  for (const auto& pool : smallest) {
+    const std::int64_t target = level + (remainder > 0 ? 1 : 0);
+    remainder -= remainder > 0 ? 1 : 0;
+    extra[pool.index] += static_cast<int>(target - pool.size);
   }
-  return count;
+  return 0;
 }
 
 }  // namespace
--- a/tests/sched_test.cpp
+++ b/tests/sched_test.cpp
@@ -2,6 +2,7 @@
 /// Load balancing between workers, limits of teams, scaling plans and arrival rates.
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <numeric>
 #include <random>
 
@@ -191,6 +192,53 @@
   EXPECT_TRUE(plan_scale_out({{"t", "a", false, 6, 0, 0, true}}, {5, 0, 0}).empty());
 }
 
+/// A slow plain model: each machine is added to the pool that is the smallest by then.
+std::vector<int> added_one_by_one(const std::vector<Pool>& pools, int count) {
+  std::vector<int> extra(pools.size(), 0);
+  for (; count > 0; --count) {
+    std::size_t smallest = pools.size();
+    const auto size = [&](std::size_t i) { return pools[i].alive + pools[i].booting + extra[i]; };
+    for (std::size_t i = 0; i < pools.size(); ++i) {
+      if (pools[i].spot || pools[i].blocked) continue;
+      if (smallest == pools.size() || size(i) < size(smallest)) smallest = i;
+    }
+    if (smallest == pools.size()) break;
+    ++extra[smallest];
+  }
+  return extra;
+}
+
+TEST(FleetPlan, MachinesAreAddedAsInThePlainModel) {
+  std::mt19937 generator(56);
+  const auto draw = [&](int most) {
+    return static_cast<int>(generator() % static_cast<unsigned>(most + 1));
+  };
+  for (int round = 0; round < 2000; ++round) {
+    std::vector<Pool> pools;
+    int have = 0;
+    for (int i = 0; i <= draw(5); ++i) {
+      pools.push_back({"t", "a", draw(3) == 0, 6, draw(9), draw(4), draw(4) == 0});
+      if (!pools.back().spot) have += pools.back().alive + pools.back().booting;
+    }
+    const int missing = draw(40);
+    const auto expected = added_one_by_one(pools, missing);
+    std::vector<int> planned(pools.size(), 0);
+    for (const auto& scale_out : plan_scale_out(pools, {static_cast<double>(have + missing), 0, 0}))
+      planned[scale_out.pool] = scale_out.count;
+    EXPECT_EQ(planned, expected);
+  }
+}
+
+/// Guards against a leader that plans machines for many large jobs one by one, for minutes.
+TEST(FleetPlan, AnyDemandIsPlannedAtOnce) {
+  const std::vector<Pool> pools{{"t", "a", false, 6, 3, 0, false},
+                                {"t", "b", false, 6, 0, 0, false}};
+  const auto begin = std::chrono::steady_clock::now();
+  for (int round = 0; round < 100; ++round)
+    EXPECT_EQ(plan_scale_out(pools, {1e12, 0, 0}).size(), 2U);
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(1));
+}
+
 TEST(FleetPlan, SurplusIsWhatNoDemandNeeds) {
   const std::vector<Pool> pools{{"t", "a", false, 6, 5, 0, false},
                                 {"t", "a", true, 2, 3, 0, false}};
