Submissions past the memory for unfinished jobs are answered at once

Change: unfinished jobs may take 0.3 of the memory, estimated from their number and the size of their records. Repeats of accepted submissions get their state as before. What is in the records already is loaded whatever its number.

--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -127,6 +127,9 @@
   if (!admission_.machine_types_known()) return reply_unavailable(call);
   if (const auto reason = admission_.check(call->spec, loop_.wall_time()))
     return reply_rejected(call, *reason);
+  if (!job_memory_limit_.allows(mirror_.jobs().size(), mirror_.job_record_bytes(),
+                                call->spec.priority))
+    return reply_no_memory(call);
   create_job(call);
 }
 
@@ -156,6 +159,14 @@
                  [call, reason] { reply_error(call, 422, to_text(reason)); });
 }
 
+void UserApi::reply_no_memory(const CallPtr& call) {
+  spdlog::debug("job {} is not accepted now: {} jobs are unfinished", call->id,
+                mirror_.jobs().size());
+  reply_if_known(call, wire::TaskCounts::omitted, [call] {
+    call->respond({503, {}, k::kJobMemoryRetryAfter});
+  });
+}
+
 void UserApi::create_job(const CallPtr& call) {
   wire::Transaction transaction;
   // The absence of a final record is a precondition too (rule 8): a copy of this request that
--- a/src/api/user_api.hpp
+++ b/src/api/user_api.hpp
@@ -16,6 +16,7 @@
 
 #include "api/admission.hpp"
 #include "api/concurrency_limit.hpp"
+#include "api/job_memory_limit.hpp"
 #include "api/status_responder.hpp"
 #include "config/settings.hpp"
 #include "election/read_index.hpp"
@@ -42,6 +43,7 @@
         on_cancelled_(std::move(on_cancelled)),
         scope_(queue),
         admission_(settings),
+        job_memory_limit_(settings.memory_mb),
         limit_(settings.tuning.requests_max),
         responder_(event_loop, mirror) {}
 
@@ -51,7 +53,8 @@
   }
 
   /// Submits a job. 201: recorded now; 200 with its state: its id was accepted before; 400:
-  /// malformed; 422: the job can never run in this deployment; 503: try again.
+  /// malformed; 422: the job can never run in this deployment; 503: try again, after
+  /// `Retry-After` if there are too many unfinished jobs.
   void submit(const std::string& body, net::Responder respond);
   /// Reports a job's state. 200, 404, or 503: try again.
   void poll(const std::string& id, net::Responder respond);
@@ -109,6 +112,8 @@
                                                                           Call& call);
   void reply_malformed(const CallPtr& call, const wire::DecodeError& error);
   void reply_rejected(const CallPtr& call, RejectionReason reason);
+  /// 503: there is no memory for another job now, unless this one was accepted before.
+  void reply_no_memory(const CallPtr& call);
   /// Records the job, on condition that its id has no record yet.
   void create_job(const CallPtr& call);
   void on_create_result(const CallPtr& call, const store::CommitResult& result);
@@ -132,6 +137,7 @@
   std::function<void(const std::string& job)> on_cancelled_;
   runtime::CommandScope scope_;
   Admission admission_;
+  JobMemoryLimit job_memory_limit_;
   ConcurrencyLimit limit_;
   StatusResponder responder_;
 };
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -131,12 +131,22 @@
 inline constexpr std::size_t kTaskMemoryBytes = 320;
 /// Bytes. Upper bound of what a block takes beside its tasks.
 inline constexpr std::size_t kBlockMemoryBytes = 960;
-/// Ratio of the task budget to the part of it that is kept for jobs with nothing in memory.
+/// Ratio of the task budget to the part of it that is kept for jobs of a single block.
 inline constexpr std::size_t kTaskReserveDivisor = 8;
 /// Share of the task budget that waiting tasks may use. The rest is for running ones, and for
 /// gangs, which are loaded whole.
 inline constexpr double kWaitingTasksShare = 0.25;
 
+// --- api: memory for unfinished jobs ------------------------------------------------------------
+/// Share of the process's memory that unfinished jobs may take without their tasks.
+inline constexpr double kJobMemoryShare = 0.3;
+/// Bytes. What a leader needs for an unfinished job, without its tasks and its record.
+inline constexpr double kJobMemoryBytes = 1000;
+/// Bytes. What the record of a job takes in memory for each byte in the state store.
+inline constexpr double kJobMemoryPerRecordByte = 1.5;
+/// Seconds. Value of `Retry-After` when there is no memory for another job.
+inline constexpr int kJobMemoryRetryAfter = 5;
+
 // --- peer: connections between controllers -----------------------------------------------------
 /// Bytes. Largest message between controllers.
 inline constexpr std::size_t kMaxPeerMessageBytes = std::size_t{256} * 1024;
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -26,6 +26,7 @@
   lead_.reset();
   machine_types_.reset();
   jobs_.clear();
+  job_record_bytes_ = 0;
   cancelled_.clear();
   unreadable_jobs_.clear();
   blocks_.clear();
@@ -101,10 +102,24 @@
   }
 }
 
-void Mirror::put_job(const std::string& id, JobRecord record, std::uint64_t mod_revision) {
+void Mirror::put_job(const std::string& id, const std::string& packed, std::uint64_t mod_revision) {
+  auto record = decode_job(packed);
   unreadable_jobs_.erase(id);
   if (record.cancelled) cancelled_.insert(id);
-  jobs_[id] = {std::move(record), mod_revision};
+  auto& job = jobs_[id];
+  job_record_bytes_ = job_record_bytes_ - job.packed_bytes + packed.size();
+  job = {std::move(record), mod_revision, packed.size()};
+}
+
+void Mirror::erase_job(const std::string& id) {
+  const auto found = jobs_.find(id);
+  if (found != jobs_.end()) {
+    job_record_bytes_ -= found->second.packed_bytes;
+    jobs_.erase(found);
+  }
+  unreadable_jobs_.erase(id);
+  cancelled_.erase(id);
+  if (loaded()) blocks_.erase(id);
 }
 
 void Mirror::put_slot(std::uint32_t slot, const SlotRecord& value, std::uint64_t mod_revision) {
@@ -146,7 +161,7 @@
       machine_types_ = Value{packed, mod_revision};
       break;
     case Key::Kind::job:
-      put_job(key.id, decode_job(packed), mod_revision);
+      put_job(key.id, packed, mod_revision);
       break;
     case Key::Kind::slot:
       put_slot(key.number, decode_slot(packed), mod_revision);
@@ -171,10 +186,7 @@
       lead_.reset();
       break;
     case Key::Kind::job:
-      jobs_.erase(key.id);
-      unreadable_jobs_.erase(key.id);
-      cancelled_.erase(key.id);
-      if (loaded()) blocks_.erase(key.id);
+      erase_job(key.id);
       break;
     case Key::Kind::delegation:
       delegations_.erase(key.id);
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -49,6 +49,7 @@
   struct Job {
     JobRecord record;                ///< the job, and whether it was cancelled
     std::uint64_t mod_revision = 0;  ///< revision of its last change
+    std::size_t packed_bytes = 0;    ///< size of the record in its stored encoding
   };
   /// The record by which a node is a zone delegate.
   struct Delegation {
@@ -81,6 +82,8 @@
   [[nodiscard]] const Job* job(const std::string& id) const;
   /// All unfinished jobs, by id.
   [[nodiscard]] const std::map<std::string, Job>& jobs() const { return jobs_; }
+  /// Size of the records of all unfinished jobs in their stored encoding, in bytes.
+  [[nodiscard]] std::size_t job_record_bytes() const { return job_record_bytes_; }
   /// Ids of the unfinished jobs that were cancelled.
   [[nodiscard]] const std::set<std::string>& cancelled() const { return cancelled_; }
   /// The blocks of a job by their number, or null if none is recorded.
@@ -116,7 +119,8 @@
  private:
   void put(const Key& key, const std::string& packed, std::uint64_t mod_revision);
   void decode_and_put(const Key& key, const std::string& packed, std::uint64_t mod_revision);
-  void put_job(const std::string& id, JobRecord record, std::uint64_t mod_revision);
+  void put_job(const std::string& id, const std::string& packed, std::uint64_t mod_revision);
+  void erase_job(const std::string& id);
   void put_slot(std::uint32_t slot, const SlotRecord& value, std::uint64_t mod_revision);
   void put_block(std::uint32_t slot, std::uint64_t number, const BlockEntry& entry);
   void put_machine(std::uint32_t slot, std::uint64_t number, const MachineEntry& entry);
@@ -134,6 +138,7 @@
   std::uint64_t lead_revision_ = 0;
   std::optional<Value> machine_types_;
   std::map<std::string, Job> jobs_;
+  std::size_t job_record_bytes_ = 0;  ///< sum of Job::packed_bytes
   std::set<std::string> cancelled_;
   std::unordered_map<std::string, std::map<std::uint32_t, Block>> blocks_;  ///< by job id
   std::map<std::string, Machine> machines_;
