The task budget keeps a reserve for small jobs

Cause: a block of which a task has started can't be unloaded. Blocks that are completed counted too, so five arrays of 100,000 tasks that are nearly done would have stopped all loading.

Completed blocks don't count. A block that may not be loaded does not hide later ones of its job that are in memory.

--- a/src/placement/direct_placement.cpp
+++ b/src/placement/direct_placement.cpp
@@ -56,7 +56,10 @@
   auto progress = Progress::complete;
   const auto job_end = machines_examined_ + kExaminationsPerJob;
   for (std::uint32_t number = 0; number < job.block_count; ++number) {
-    if (!model_.may_load_block(job, number)) return Progress::incomplete;
+    if (!model_.may_load_block(job, number)) {
+      progress = Progress::incomplete;
+      continue;  // a later block may be in memory
+    }
     auto& block = model_.load_block(job, number, nullptr);
     for (auto& task : block.tasks) {
       if (!task.is_pending()) continue;
--- a/src/placement/gang_attempts.cpp
+++ b/src/placement/gang_attempts.cpp
@@ -75,7 +75,7 @@
 
 // --- replacement of lost tasks ---------------------------------------------------------------
 
-bool GangAttempts::others_still_waiting(state::Job& job) const {
+bool GangAttempts::others_still_waiting(const state::Job& job) {
   // A heartbeat shows an earlier state. Therefore each of the other tasks must have been reported
   // as waiting in a heartbeat that was sent after the machine received the command to run it.
   const auto tasks = gang_tasks_in_memory(job);
--- a/src/placement/gang_attempts.hpp
+++ b/src/placement/gang_attempts.hpp
@@ -28,7 +28,7 @@
   void advance_start(state::Job& job, const state::MachineSet& with_room, double now);
   /// Whether commands to run the attempt's tasks may be sent: the assignments of all of them are
   /// committed (rule 1).
-  [[nodiscard]] bool is_committed(state::Job& job);
+  [[nodiscard]] static bool is_committed(state::Job& job);
   /// Ends all tasks of the attempt without time for a checkpoint. `reason` goes to the log.
   void end(state::Job& job, const char* reason, double now);
   /// To be called when no task is on a machine any more. The gang waits for its next attempt, or
@@ -41,7 +41,7 @@
   /// Records all tasks of one block as completed.
   void complete_block(state::Block& block);
   /// Whether lost tasks may be assigned anew under the same attempt.
-  [[nodiscard]] bool others_still_waiting(state::Job& job) const;
+  [[nodiscard]] static bool others_still_waiting(const state::Job& job);
   /// Whether a replacement that needs `fetch_s` seconds for the image can join the other tasks
   /// before their wait times out.
   [[nodiscard]] bool time_for_replacement(const state::Job& job, double fetch_s, double now) const;
--- a/src/state/model.cpp
+++ b/src/state/model.cpp
@@ -22,6 +22,10 @@
   };
 }
 
+TaskBudget::Use use_of(const Job& job) {
+  return job.block_count == 1 ? TaskBudget::Use::small_job : TaskBudget::Use::large_job;
+}
+
 }  // namespace
 
 Job& Model::add_job(const std::string& id, const store::JobRecord& record, double submitted) {
@@ -50,8 +54,9 @@
 void Model::remove_job(const std::string& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
-  for (const auto& [number, block] : found->second->blocks)
-    task_budget_.remove(TaskBudget::cost_of_block(block->tasks.size()));
+  for (const auto& [number, block] : found->second->blocks) {
+    if (!block->all_done()) task_budget_.remove(TaskBudget::cost_of_block(block->tasks.size()));
+  }
   jobs_by_serial_.erase(found->second->serial);
   jobs_with_unqueued_tasks_.erase(found->second.get());
   finalizable_.erase(found->second.get());
@@ -98,8 +103,7 @@
 
 bool Model::may_load_block(const Job& job, std::uint32_t number) const {
   if (job.blocks.contains(number)) return true;
-  const auto use = job.blocks.empty() ? TaskBudget::Use::first_block : TaskBudget::Use::more;
-  return task_budget_.allows(TaskBudget::cost_of_block(block_length(job, number)), use);
+  return task_budget_.allows(TaskBudget::cost_of_block(block_length(job, number)), use_of(job));
 }
 
 bool Model::may_load_job(const Job& job) const {
@@ -107,7 +111,7 @@
   // All blocks but the last one have the same length.
   const auto blocks_missing = job.block_count - job.blocks.size();
   const auto cost = TaskBudget::cost_of_block(block_length(job, 0));
-  return task_budget_.allows(blocks_missing * cost, TaskBudget::Use::more);
+  return task_budget_.allows(blocks_missing * cost, use_of(job));
 }
 
 void Model::unload_block(Job& job, std::uint32_t number) {
@@ -121,7 +125,8 @@
 }
 
 void Model::release_tasks(Block& block) {
-  task_budget_.remove(block.tasks.size());
+  if (block.all_done()) return;
+  task_budget_.remove(TaskBudget::cost_of_block(block.tasks.size()));
   block.tasks.clear();
   block.tasks.shrink_to_fit();
 }
--- a/src/state/task_budget.hpp
+++ b/src/state/task_budget.hpp
@@ -9,28 +9,30 @@
 
 namespace elmstall::state {
 
-/// Counts the tasks in memory, and says whether more may be loaded. A reserve is left for jobs that
-/// have nothing in memory, so that small ones can start beside large ones.
+/// Counts the tasks in memory, and says whether more may be loaded. A reserve is kept for small
+/// jobs: many large ones may have begun, and their blocks can't be unloaded then. Blocks all of
+/// whose tasks are completed don't count: otherwise the budget could be used up by jobs that are
+/// nearly done.
 class TaskBudget {
  public:
   /// The limit follows from the memory that the process may use, in MB.
   explicit TaskBudget(double memory_mb);
 
-  /// What a block with this number of tasks counts: its tasks, and an allowance for the block.
+  /// What a block with this number of unfinished tasks counts: these, and an allowance for itself.
   [[nodiscard]] static std::size_t cost_of_block(std::size_t tasks);
   /// Notes that so much was loaded.
   void add(std::size_t cost) { used_ += cost; }
   /// Notes that so much was unloaded.
   void remove(std::size_t cost) { used_ -= cost; }
 
-  /// What is to be loaded for a job.
+  /// For what a block is to be loaded.
   enum class Use : std::uint8_t {
-    first_block,  ///< the first block of a job, which may use the reserve
-    more          ///< further blocks, or all of a gang at once
+    small_job,  ///< a job of one block, which may use the reserve
+    large_job   ///< a job of several blocks
   };
   /// Whether so much more may be loaded.
   [[nodiscard]] bool allows(std::size_t cost, Use use) const {
-    return used_ + cost <= (use == Use::first_block ? limit_ : limit_ - reserve_);
+    return used_ + cost <= (use == Use::small_job ? limit_ : limit_ - reserve_);
   }
   /// What is loaded at present, in tasks.
   [[nodiscard]] std::size_t used() const { return used_; }
@@ -39,7 +41,7 @@
 
  private:
   std::size_t limit_;
-  std::size_t reserve_;  ///< part of the limit for jobs of which nothing is loaded yet
+  std::size_t reserve_;  ///< part of the limit that is kept for small jobs
   std::size_t used_ = 0;
 };
 
