--- a/tests/accepted_work_test.cpp
+++ b/tests/accepted_work_test.cpp
@@ -3,6 +3,7 @@
 /// leader keeps in memory are bounded, and small work beside the large goes on.
 #include <gtest/gtest.h>
 
+#include "config/constants.hpp"
 #include "support/leader_view.hpp"
 #include "support/scenarios.hpp"
 
@@ -90,5 +91,68 @@
   expect_starts_without_violations(world);
 }
 
+/// Sets the memory of all controllers, in MB, and starts them anew.
+void set_memory(World& world, double memory_mb) {
+  for (std::size_t node = 0; node < world.node_count(); ++node) {
+    world.processes.at(node).settings.memory_mb = memory_mb;
+    world.crash(node, 0.1);
+  }
+  world.run_until(10);
+}
+
+/// Guards against small work that waits for ever because many large arrays have begun, whose blocks
+/// can't be taken out of memory again.
+TEST(AcceptedWork, SmallWorkGoesOnWhenManyLargeArraysHaveBegun) {
+  World world(5604);
+  set_memory(world, 2);
+  const auto limit = leader_model(world).task_budget().limit();
+  constexpr int kJobs = 150;
+  for (int number = 1; number <= kJobs; ++number) world.submit(array(number, 1000, 1));
+  const double end = world.loop.now() + 600;
+  EXPECT_LE(most_tasks_in_memory_until(world, end), limit);
+  int begun = 0;
+  for (const auto& [id, job] : leader_model(world).jobs()) begun += job->begun ? 1 : 0;
+  EXPECT_GT(begun, kJobs / 2);
+  expect_small_work_done(world, kJobs + 1);
+  world.crash(leader_index(world), 8);
+  world.run_for(30);
+  expect_small_work_done(world, kJobs + 2);
+  expect_starts_without_violations(world);
+}
+
+/// The status of a submission at the first node.
+int status_of_submission(World& world, const wire::JobSpec& job) {
+  world.register_job(job);
+  const auto response = world.response_of(0, submit_request(job), 1);
+  return response ? response->status : 0;
+}
+
+/// Guards against controllers that end for memory on a flood of jobs, each of them small: past the
+/// bound, submissions are answered at once, urgent ones last, and what was accepted stays known.
+TEST(AcceptedWork, JobsPastTheMemoryBoundAreAnsweredWithWhenToComeBack) {
+  World world(5603);
+  set_memory(world, 1);
+  int number = 1;
+  int status = 201;
+  for (; status == 201 && number < 1000; ++number)
+    status = status_of_submission(world, array(number, 1, 3000));
+  EXPECT_EQ(status, 503);
+  const int refused = number - 1;
+  EXPECT_GT(refused, 100);
+  const auto response = world.response_of(0, submit_request(array(refused, 1)), 1);
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->retry_after_s, constants::kJobMemoryRetryAfter);
+  EXPECT_EQ(status_of_submission(world, array(1, 1, 3000)), 200);
+
+  auto urgent = array(number, 1, 5);
+  urgent.priority = wire::Priority::critical;
+  EXPECT_EQ(status_of_submission(world, urgent), 201);
+  for (int cancelled = 1; cancelled <= 50; ++cancelled)
+    EXPECT_TRUE(world.cancel_at(0, "job-" + std::to_string(cancelled)));
+  world.run_for(20);
+  EXPECT_EQ(status_of_submission(world, array(refused, 1, 3000)), 201);
+  expect_no_violations(world);
+}
+
 }  // namespace
 }  // namespace elmstall::test
--- a/tests/soak/controller_child.cpp
+++ b/tests/soak/controller_child.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <system_error>
 #include <utility>
 
@@ -53,6 +54,16 @@
   if (running()) ::kill(pid_, SIGCONT);
 }
 
+double ControllerChild::peak_memory_mb() const {
+  constexpr double kb_per_mb = 1024;
+  const std::string key = "VmHWM:";
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(key)) return std::stod(line.substr(key.size())) / kb_per_mb;
+  }
+  return 0;
+}
+
 std::optional<std::string> ControllerChild::unexpected_exit() {
   int status = 0;
   if (!running() || ::waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
--- a/tests/soak/controller_child.hpp
+++ b/tests/soak/controller_child.hpp
@@ -26,6 +26,8 @@
   void suspend() const;
   void resume() const;
   [[nodiscard]] bool running() const { return pid_ > 0; }
+  /// The largest resident set of the process so far, in MB; 0 if it does not run.
+  [[nodiscard]] double peak_memory_mb() const;
   /// The reason, as text, if it has ended since the last call without having been killed.
   [[nodiscard]] std::optional<std::string> unexpected_exit();
   /// Whether it ended because it could not listen on its addresses.
--- a/tests/soak/options.hpp
+++ b/tests/soak/options.hpp
@@ -30,6 +30,8 @@
   std::set<FaultKind> kinds;        ///< faults that are drawn
   std::optional<std::string> logs;  ///< folder in which the logs of all seeds are kept
   int port_base = 0;                ///< first of the controllers' ports; 0: free ones
+  /// Entries on a page of the state store's lists; few, so that loading takes several requests.
+  std::size_t state_page = 20;
 };
 
 /// Result of parsing: options, or an exit code if the program must end.
--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -101,7 +101,7 @@
   };
   links_.resize(options.controllers);
   choose_addresses(options.port_base);
-  for (std::size_t node = 0; node < links_.size(); ++node) connect(node);
+  for (std::size_t node = 0; node < links_.size(); ++node) connect(node, options.state_page);
   for (std::size_t node = 0; node < links_.size(); ++node) {
     const auto name = test::node_name(node);
     controllers_.push_back(std::make_unique<ControllerChild>(
@@ -126,10 +126,10 @@
   }
 }
 
-void Site::connect(std::size_t node) {
+void Site::connect(std::size_t node, std::size_t state_page) {
   auto& links = links_[node];
   links.state = std::make_unique<test::StateStoreServer>(io_, world_);
-  links.state->page_size = 20;  // so that loading takes several requests
+  links.state->page_size = state_page;
   links.to_state = proxy_to(io_, loopback(links.state->port()));
   links.to_cloud = proxy_to(io_, loopback(cloud_.port()));
   links.from_workers = proxy_to(io_, api_addresses_[node]);
--- a/tests/soak/site.hpp
+++ b/tests/soak/site.hpp
@@ -54,7 +54,7 @@
   };
 
   void choose_addresses(int port_base);
-  void connect(std::size_t node);
+  void connect(std::size_t node, std::size_t state_page);
   [[nodiscard]] std::filesystem::path write_settings(std::size_t node,
                                                      const std::filesystem::path& folder) const;
   void deliver(std::size_t node, const net::Request& request, const net::Responder& respond);
