--- a/src/placement/gang_attempts.cpp
+++ b/src/placement/gang_attempts.cpp
@@ -49,7 +49,7 @@
   auto& gang = job.gang;
   if (gang.committed) return true;
   // After a takeover, blocks that the former leader did not record are not in memory.
-  if (!gang_in_memory(job)) return false;
+  if (!load_gang(model_, job)) return false;
   // All tasks are checked until they are committed; from then on the result is cached.
   const auto tasks = gang_tasks_in_memory(job);
   gang.committed = std::all_of(tasks.begin(), tasks.end(), [&](const state::Task* task) {
--- a/src/placement/gang_attempts.hpp
+++ b/src/placement/gang_attempts.hpp
@@ -28,7 +28,7 @@
   void advance_start(state::Job& job, const state::MachineSet& with_room, double now);
   /// Whether commands to run the attempt's tasks may be sent: the assignments of all of them are
   /// committed (rule 1).
-  [[nodiscard]] static bool is_committed(state::Job& job);
+  [[nodiscard]] bool is_committed(state::Job& job);
   /// Ends all tasks of the attempt without time for a checkpoint. `reason` goes to the log.
   void end(state::Job& job, const char* reason, double now);
   /// To be called when no task is on a machine any more. The gang waits for its next attempt, or
--- a/src/placement/task_windows.cpp
+++ b/src/placement/task_windows.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <tuple>
 #include <utility>
 
 #include "config/constants.hpp"
--- a/tests/memory/main.cpp
+++ b/tests/memory/main.cpp
@@ -49,6 +49,7 @@
   std::string binary;
   double scale = 1;
   double settle_s = 10;
+  double small_job_limit_s = 60;
   std::vector<std::string> names;  ///< of the loads to run; empty: all
 };
 
@@ -63,6 +64,7 @@
     RunOptions options;
     options.binary = request.binary;
     options.settle_s = request.settle_s;
+    options.small_job_limit_s = request.small_job_limit_s;
     options.folder =
         fs::temp_directory_path() / fmt::format("elmstall-memory-{}-{}", ::getpid(), ++runs);
     failed += run_load(options, load) ? 0 : 1;
@@ -85,6 +87,8 @@
       ->check(CLI::Range(0.001, 100.0));
   cli.add_option("--settle", request.settle_s, "seconds for which each leader has the load alone")
       ->check(CLI::Range(1.0, 3600.0));
+  cli.add_option("--small-job", request.small_job_limit_s, "seconds that a small job may take")
+      ->check(CLI::Range(1.0, 3600.0));
   cli.add_option("--load", request.names, "names of the loads to run (default: all)")
       ->delimiter(',');
   try {
