An empty list of allowed machine types allows none

Cause: the decoder made one value of null, absent and empty, and an empty list meant "any type" in admission, placement and the estimate of demand. Admission kept a flag beside the list that was set from the emptiness of the list itself. Change: wire::AllowedTypes is one value from the decoder to the placement: any type, or those of a list, which may be empty. A submission that allows none gets 422. No record and no message has changed. The tests' own checker had the same confusion. Why it works: no reader has to tell "any" from "none" by the size of a list any more.

--- a/src/api/admission.cpp
+++ b/src/api/admission.cpp
@@ -18,12 +18,11 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-/// Whether the job's own conditions allow the machine type. Empty lists allow everything.
+/// Whether the job's own conditions allow the machine type.
 bool allows(const wire::JobSpec& spec, const wire::MachineType& machine_type) {
-  const bool type_allowed = spec.types.empty() || contains(spec.types, machine_type.name);
   const bool zone_allowed =
       !spec.zone || machine_type.zones.empty() || contains(machine_type.zones, *spec.zone);
-  return type_allowed && zone_allowed;
+  return zone_allowed && spec.types.allows(machine_type.name);
 }
 
 bool within_team_limit(const wire::JobSpec& spec, const config::Team& team) {
@@ -56,19 +55,17 @@
 std::optional<RejectionReason> Admission::check(wire::JobSpec& spec, double submitted_at) const {
   const auto* team = settings_.team(spec.team);
   if (team == nullptr) return RejectionReason::unknown_team;
-  const bool any_type_allowed = spec.types.empty();
   remove_unknown_machine_types(spec);
-  // An empty list would now mean that every type is allowed.
-  if (!any_type_allowed && spec.types.empty()) return RejectionReason::no_allowed_machine_type;
+  if (spec.types.none()) return RejectionReason::no_allowed_machine_type;
   if (!task_fits_some_machine_type(spec)) return RejectionReason::no_fitting_machine_type;
   if (!within_team_limit(spec, *team)) return RejectionReason::above_team_limit;
   return check_record_size(spec, submitted_at);
 }
 
 void Admission::remove_unknown_machine_types(wire::JobSpec& spec) const {
-  std::erase_if(spec.types, [this](const std::string& type) {
-    return std::none_of(machine_types_.begin(), machine_types_.end(),
-                        [&](const auto& machine_type) { return machine_type.name == type; });
+  spec.types.remove_unknown([this](const std::string& type) {
+    return std::any_of(machine_types_.begin(), machine_types_.end(),
+                       [&](const auto& machine_type) { return machine_type.name == type; });
   });
 }
 
--- a/src/api/admission.hpp
+++ b/src/api/admission.hpp
@@ -16,8 +16,8 @@
 /// Why a submission is rejected.
 enum class RejectionReason : std::uint8_t {
   unknown_team,
-  no_allowed_machine_type,  ///< the job allows certain machine types, and the cloud has none of
-                            ///< them
+  no_allowed_machine_type,  ///< the cloud has none of the machine types that the job allows, or
+                            ///< the job allows none
   no_fitting_machine_type,  ///< no allowed machine type is large enough for one task
   above_team_limit,         ///< what must run at once exceeds the team's hard limit
   gang_not_recordable,      ///< the gang's tasks can't all be recorded as started at once
--- a/src/autoscaler/demand_estimator.cpp
+++ b/src/autoscaler/demand_estimator.cpp
@@ -47,8 +47,7 @@
 bool DemandEstimator::needs_machine_type(const state::Job& job,
                                          const wire::MachineType& machine_type, double now) {
   if (job.cancelled || job.failed_until > now || job.all_done()) return false;
-  const auto& types = job.spec.types;
-  return types.empty() || std::find(types.begin(), types.end(), machine_type.name) != types.end();
+  return job.spec.types.allows(machine_type.name);
 }
 
 double DemandEstimator::tasks_within_limit(const state::Job& job, const config::Team& team,
--- a/src/state/model.cpp
+++ b/src/state/model.cpp
@@ -398,8 +398,7 @@
   const auto& spec = job.spec;
   if (machine.spot && !spec.spot) return false;
   if (spec.zone && *spec.zone != machine.zone) return false;
-  return spec.types.empty() ||
-         std::find(spec.types.begin(), spec.types.end(), machine.type) != spec.types.end();
+  return spec.types.allows(machine.type);
 }
 
 bool Model::recordable(const Task& task) const {
--- a/src/store/record_sizes.cpp
+++ b/src/store/record_sizes.cpp
@@ -26,7 +26,7 @@
 JobRecord cancelled_record(JobRecord record, std::size_t max_bytes) {
   record.cancelled = true;
   if (json_size(record) <= max_bytes) return record;
-  record.spec.types.clear();
+  record.spec.types = wire::AllowedTypes::any();
   record.spec.zone.reset();
   record.spec.image.clear();
   return record;
--- a/src/wire/jobs.cpp
+++ b/src/wire/jobs.cpp
@@ -48,6 +48,20 @@
   return static_cast<std::uint32_t>(tasks);
 }
 
+AllowedTypes decode_allowed_types(const Fields& fields) {
+  const auto* names = fields.find("builds");
+  return names == nullptr ? AllowedTypes::any() : AllowedTypes::only(texts(names, "builds"));
+}
+
+void pack_allowed_types(Packer& packer, const AllowedTypes& types) {
+  packer.key("builds");
+  if (const auto* names = types.names()) {
+    packer.texts(*names);
+  } else {
+    packer.null();
+  }
+}
+
 std::string decode_image(const Fields& fields) {
   auto image = fields.text("bundle");
   if (image.size() > constants::kMaxNameBytes) throw DecodeError("field 'bundle' is too long");
@@ -80,7 +94,7 @@
   job.priority = parse_enum(kPriorities, fields.text("rank"), "rank");
   job.tasks = decode_task_count(fields);
   decode_amounts(fields, kTaskResources, job);
-  job.types = texts(fields.find("builds"), "builds");
+  job.types = decode_allowed_types(fields);
   job.zone = fields.maybe_text("yard");
   job.together = fields.flag("together");
   job.spread = fields.flag("scatter");
@@ -100,12 +114,7 @@
   packer.key("rank").text(name_of(kPriorities, job.priority));
   packer.key("shards").integer(job.tasks);
   pack_amounts(packer, kTaskResources, job);
-  packer.key("builds");
-  if (job.types.empty()) {
-    packer.null();
-  } else {
-    packer.texts(job.types);
-  }
+  pack_allowed_types(packer, job.types);
   packer.key("yard").text_or_null(job.zone);
   packer.key("together").flag(job.together);
   packer.key("scatter").flag(job.spread);
--- a/src/wire/jobs.hpp
+++ b/src/wire/jobs.hpp
@@ -6,8 +6,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
+#include "wire/allowed_types.hpp"
 #include "wire/codec.hpp"
 
 namespace elmstall::wire {
@@ -44,7 +44,7 @@
   double cpus = 0;                       ///< processor cores needed by each task
   double gpus = 0;                       ///< graphics processors needed by each task
   double memory_gb = 0;                  ///< main memory needed by each task, GB
-  std::vector<std::string> types;        ///< allowed machine types; empty: any
+  AllowedTypes types;                    ///< allowed machine types
   std::optional<std::string> zone;       ///< allowed zone; nothing: any
   bool together = false;                 ///< all tasks must run in one zone
   bool spread = false;                   ///< limits the number of tasks in each zone
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -10,7 +10,7 @@
 /// | **all interfaces**               |                                                       |
 /// | `uid`                            | `id` of a job or machine                              |
 /// | `host`, `hosts`                  | machine, `machines`                                   |
-/// | `build`, `builds`                | machine `type`, `types`                               |
+/// | `build`, `builds`                | machine `type`, `types`, AllowedTypes                 |
 /// | `yard`, `yards`                  | `zone`, `zones`                                       |
 /// | `loaners`                        | `spot`                                                |
 /// | `cores`, `cards`, `ram_gb`       | `cpus`, `gpus`, `memory_gb`                           |
--- a/tests/falling_limits_test.cpp
+++ b/tests/falling_limits_test.cpp
@@ -58,10 +58,15 @@
   ASSERT_EQ(world.state.commit(transaction).outcome, store::Outcome::ok);
 }
 
+/// A list of allowed machine types that takes much room in a record.
+wire::AllowedTypes repeated_type(std::size_t times) {
+  return wire::AllowedTypes::only(std::vector<std::string>(times, "m12"));
+}
+
 /// A job whose record is as large as the initial limits allow, and too large for the lower ones.
 wire::JobSpec job_with_large_record() {
   auto job = array(1, 2);
-  for (int i = 0; i < 80; ++i) job.types.push_back("m12");
+  job.types = repeated_type(80);
   return job;
 }
 
@@ -72,7 +77,7 @@
   world.run_until(5);
   auto job = array(1, 2, 500);
   job.image = std::string(180, 'i');
-  for (int i = 0; i < 55; ++i) job.types.push_back("m12");
+  job.types = repeated_type(55);
   world.register_job(job);
   world.rules.record_accepted(world.loop.now(), job.id);
   ASSERT_NO_FATAL_FAILURE(store_job_record(world, job));
--- a/tests/odd_requests_test.cpp
+++ b/tests/odd_requests_test.cpp
@@ -70,7 +70,7 @@
   submission.cpus = 13;
   EXPECT_EQ(submit(packed(submission)), 422) << "larger than any machine";
   submission = array(++number, 1);
-  submission.types = {"m99"};
+  submission.types = wire::AllowedTypes::only({"m99"});
   EXPECT_EQ(submit(packed(submission)), 422) << "no such type";
   submission = array(++number, 1);
   submission.zone = "west";
@@ -88,6 +88,29 @@
   EXPECT_EQ(jobs_stored(), 4);
 }
 
+/// Guards against `wrong_place`: an empty list of machine types allows none, and null allows any.
+TEST(OddRequests, AnEmptyListOfMachineTypesAllowsNone) {
+  World world(3105);
+  world.run_until(10);
+  const auto submit = [&](std::size_t node, const wire::JobSpec& job,
+                          const std::function<void(wire::Packer&)>& types) {
+    world.register_job(job);
+    const net::Request request{"POST", "/api/jobs", packed_without(job, "builds", types)};
+    const auto response = world.response_of(node, request, 0.5);
+    return response ? response->status : 0;
+  };
+  for (std::size_t node = 0; node < world.node_count(); ++node) {
+    const auto job = array(static_cast<int>(node) + 1, 2);
+    EXPECT_EQ(submit(node, job, [](wire::Packer& packer) { packer.list(0); }), 422) << node;
+    EXPECT_FALSE(world.state.items().contains(store::job_key(job.id))) << node;
+  }
+  world.run_for(60);
+  EXPECT_EQ(world.rules.starts(), 0U);
+  EXPECT_EQ(submit(0, array(9, 2), [](wire::Packer& packer) { packer.null(); }), 201);
+  world.run_for(60);
+  EXPECT_EQ(world.rules.starts(), 2U);
+}
+
 /// A repeated submission of an accepted id is answered with the job's state, whatever else it
 /// contains. Requests for ids that were never accepted get 404.
 TEST(OddRequests, RepeatedRequestsKeepTheirAnswerAndUnknownJobsGet404) {
--- a/tests/production/upgrade_test.cpp
+++ b/tests/production/upgrade_test.cpp
@@ -116,6 +116,42 @@
   expect_no_violations(world);
 }
 
+/// Guards against `forgotten`: the production version takes an empty list of machine types for any
+/// type, and records it so. What it accepted stays accepted, also to a repeat.
+TEST(UpgradeStep, JobWithAnEmptyListOfTypesStaysKnownOnceItWasAccepted) {
+  World world(955, 3, std::nullopt, make_production_node);
+  const auto submit = [&](std::size_t node, int number) {
+    auto job = array(number, 2, 400);
+    world.register_job(job);
+    job.types = wire::AllowedTypes::only({});
+    const auto response = world.response_of(node, submit_request(job), 1);
+    return response ? response->status : 0;
+  };
+  world.run_until(10);
+  EXPECT_EQ(submit(0, 1), 201) << "the production version accepts it";
+  world.upgrade(1);
+  world.crash(1, 1);
+  world.run_for(20);
+  EXPECT_EQ(submit(1, 1), 200) << "a repeat at an upgraded controller";
+  EXPECT_EQ(submit(1, 2), 422) << "a new job at an upgraded controller";
+  EXPECT_EQ(submit(2, 3), 201) << "a new job at a controller that is not upgraded";
+  EXPECT_EQ(submit(1, 3), 200) << "its repeat at an upgraded one";
+  for (const std::size_t node : {0, 2}) {
+    world.upgrade(node);
+    world.crash(node, 1);
+  }
+  world.run_for(60);
+  ASSERT_NE(world.leader(), nullptr);
+  for (std::size_t node = 0; node < world.node_count(); ++node) {
+    EXPECT_EQ(submit(node, 1), 200) << node;
+    EXPECT_EQ(submit(node, 3), 200) << node;
+    EXPECT_EQ(submit(node, 2), 422) << node;
+  }
+  EXPECT_EQ(running_tasks(world, "job-1"), 2U);
+  EXPECT_EQ(running_tasks(world, "job-3"), 2U);
+  expect_no_violations(world);
+}
+
 /// Guards against `ran_twice` as ForwardedReplies does, with a leader of the production version,
 /// which returns the numbers of forwarded heartbeats as they are.
 TEST(UpgradeStep, RepliesToAnEarlierProcessReachNoOtherWorker) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -16,7 +16,7 @@
     job_.team = "red";
     job_.tasks = 4;
     job_.cpus = job_.gpus = 1;
-    job_.types = {"m12"};
+    job_.types = wire::AllowedTypes::only({"m12"});
   }
   /// Replaces the checker by one that has recorded only the submission of this job.
   RuleChecker& new_checker(const wire::JobSpec& spec) {
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -108,7 +108,7 @@
   record.spec.job_class = record.spec.team = "x";
   record.spec.image = std::string(200, 'i');
   record.spec.tasks = 9;
-  record.spec.types.assign(500, "m12");
+  record.spec.types = wire::AllowedTypes::only(std::vector<std::string>(500, "m12"));
   const auto max_bytes = value_bytes(2);
   ASSERT_GT(json_size(record), max_bytes);
   const auto cancelled = cancelled_record(record, max_bytes);
@@ -117,8 +117,8 @@
   const auto read = decode_job(encode(cancelled));
   EXPECT_EQ(read.spec.tasks, 9U);
   EXPECT_TRUE(read.cancelled);
-  record.spec.types.resize(2);
-  EXPECT_EQ(cancelled_record(record, max_bytes).spec.types.size(), 2U);
+  record.spec.types = wire::AllowedTypes::only({"m12", "m12"});
+  EXPECT_EQ(cancelled_record(record, max_bytes).spec.types, record.spec.types);
 }
 
 TEST(Mirror, HighestValueNumberWinsInAnyOrder) {
--- a/tests/support/rules.cpp
+++ b/tests/support/rules.cpp
@@ -65,10 +65,8 @@
     fail("ran_twice", name + " and " + places.begin()->first);
   places[place.machine] = place;
   const auto& spec = specs_.at(job);
-  const auto known = [&](const std::vector<std::string>& list) {
-    return list.empty() || std::find(list.begin(), list.end(), place.type) != list.end();
-  };
-  if (!known(spec.types) || (spec.zone && *spec.zone != place.zone) || (place.spot && !spec.spot))
+  if (!spec.types.allows(place.type) || (spec.zone && *spec.zone != place.zone) ||
+      (place.spot && !spec.spot))
     fail("wrong_place", name);
   std::map<std::string, std::size_t> zones;
   sched::Amount used;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -19,7 +19,7 @@
   job.cpus = 8;
   job.gpus = 1;
   job.memory_gb = 64;
-  job.types = {"g8"};
+  job.types = AllowedTypes::only({"g8"});
   job.spot = true;
   job.image = "img-07";
   job.image_gb = 6.2;
