What the cloud does not state is not taken for an empty list, no, or 0

Found by reading, not seen to happen: the cloud sends these fields. - A machine type in no zone (yards: []) counted as offered in every zone: a job for it was accepted and waited for ever. Zones are a list or not stated now; a job that fits no offered type gets 422. - A listed machine without `loaners` was an ordinary one (wrong_place); an empty id, type or zone was a name (a task on a machine with an empty id is recorded as on none). Malformed now. - A list without `truncated`, or a page that announces more and has no entry, was the end of the list: silent machines on later pages were returned before their lease ended. Asked again now. - A boot time of 0, or none, had each machine returned in the moment it was rented. Recorded machine types of an earlier version hold an empty list where the cloud stated no zones and are read so; a field `form`, which that version ignores, marks those that mean their lists. Such a record that can't be decoded ended the process; it is skipped now like any other. Seen to fail before: SilentMachine.IsNotTakenForUnlisted..., and of AbsentValues MachineTypeZones, MachineTypeName, MachineTypeBootTime, ListEnd, ListedId, ListedType, ListedZone, ListedKind and the rows of recorded zones.

--- a/src/api/admission.cpp
+++ b/src/api/admission.cpp
@@ -14,15 +14,14 @@
   return sched::need_of_task(spec.cpus, spec.gpus, spec.memory_gb);
 }
 
-bool contains(const std::vector<std::string>& names, const std::string& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
-}
-
-/// Whether the job's own conditions allow the machine type.
-bool allows(const wire::JobSpec& spec, const wire::MachineType& machine_type) {
-  const bool zone_allowed =
-      !spec.zone || machine_type.zones.empty() || contains(machine_type.zones, *spec.zone);
-  return zone_allowed && spec.types.allows(machine_type.name);
+/// Whether the job's own conditions allow machines of the type in one of these zones.
+bool allows(const wire::JobSpec& spec, const wire::MachineType& machine_type,
+            const std::vector<std::string>& zones) {
+  const auto allowed_zone = [&](const std::string& zone) {
+    return !spec.zone || *spec.zone == zone;
+  };
+  return spec.types.allows(machine_type.name) &&
+         std::any_of(zones.begin(), zones.end(), allowed_zone);
 }
 
 bool within_team_limit(const wire::JobSpec& spec, const config::Team& team) {
@@ -73,7 +72,7 @@
   const auto need = need_of_task(spec);
   return std::any_of(machine_types_.begin(), machine_types_.end(),
                      [&](const wire::MachineType& machine_type) {
-                       return allows(spec, machine_type) &&
+                       return allows(spec, machine_type, machine_type.zones_or(settings_.zones)) &&
                               need.fits(sched::capacity_of_machine(
                                   machine_type.cpus, machine_type.gpus, machine_type.memory_gb));
                      });
--- a/src/autoscaler/demand_estimator.cpp
+++ b/src/autoscaler/demand_estimator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "autoscaler/boot_time.hpp"
 #include "autoscaler/task_packing.hpp"
 #include "config/constants.hpp"
 #include "placement/planner.hpp"
@@ -29,7 +30,7 @@
     if (!packed) continue;
     const double machines_per_task = 1.0 / *packed;
     if (job->spec.spot)
-      machines_freed += machines_per_task * tasks_ending_soon(*job, machine_type.ready_s, now);
+      machines_freed += machines_per_task * tasks_ending_soon(*job, boot_time_s(machine_type), now);
     newest_serial = std::max(newest_serial, job->serial);
     if (counts_as_arrival(*job, machine_type))
       arrivals.add(now, machines_per_task * std::min<double>(job->spec.tasks, k::kWindowTasks));
@@ -74,7 +75,7 @@
       machine_type.fetch_gb_per_s > 0 ? job.spec.image_gb / machine_type.fetch_gb_per_s : 0;
   const double run_s = estimates_.run_time(job.spec.job_class, job.spec.expect_s);
   const double slack_s = *objective_s - run_s - fetch_s;
-  return slack_s < k::kUrgentBootTimes * machine_type.ready_s;
+  return slack_s < k::kUrgentBootTimes * boot_time_s(machine_type);
 }
 
 double DemandEstimator::tasks_ending_soon(const state::Job& job, double within_s,
@@ -100,7 +101,7 @@
       term_start_.first_term() ||
       now > term_start_.at + k::kArrivalIgnoredAfterTakeover + k::kArrivalRateMinWindow;
   if (!rate_known) return 0;
-  return arrivals.per_second(now) * machine_type.ready_s - machines_freed;
+  return arrivals.per_second(now) * boot_time_s(machine_type) - machines_freed;
 }
 
 }  // namespace elmstall::autoscaler
--- a/src/autoscaler/health_review.cpp
+++ b/src/autoscaler/health_review.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "autoscaler/boot_time.hpp"
 #include "config/constants.hpp"
 
 namespace elmstall::autoscaler {
@@ -80,7 +81,7 @@
 void HealthReview::review_booting(state::Machine& machine, double now) {
   const auto* machine_type = model_.machine_type(machine.type);
   if (machine_type == nullptr || !machine.tasks.empty()) return;
-  const double boot_timeout = k::kBootTimeoutFactor * machine_type->ready_s;
+  const double boot_timeout = k::kBootTimeoutFactor * boot_time_s(*machine_type);
   // A machine provisioned by a former leader may have been up for long without having contacted
   // this leader yet. It therefore also gets the length of a lease, counted from the takeover.
   const double waiting_since = std::max(
--- a/src/autoscaler/machine_list.cpp
+++ b/src/autoscaler/machine_list.cpp
@@ -28,14 +28,15 @@
 
 void MachineList::request_page_after(const std::string& last_id) {
   cloud_.list(last_id, scope_.wrap([this](std::optional<wire::CloudPage> page) {
-    if (!page) {
+    // A page that announces more but has no entry can't be continued, and is not the last one
+    // either: machines on later pages must not count as missing from the list.
+    if (!page || (page->truncated && page->machines.empty())) {
       reading_ = false;
       next_read_at_ = loop_.now() + k::kAutoscaleInterval;
       return;
     }
     entries_.insert(entries_.end(), page->machines.begin(), page->machines.end());
-    if (page->truncated && !page->machines.empty())
-      return request_page_after(page->machines.back().id);
+    if (page->truncated) return request_page_after(page->machines.back().id);
     apply_list();
   }));
 }
--- a/src/autoscaler/pool_survey.cpp
+++ b/src/autoscaler/pool_survey.cpp
@@ -45,7 +45,7 @@
                                       const config::Settings& settings, state::Model& model,
                                       const Provisioning& provisioning, double now) {
   std::vector<sched::Pool> pools;
-  for (const auto& zone : zones_of(machine_type, settings)) {
+  for (const auto& zone : machine_type.zones_or(settings.zones)) {
     for (const bool spot : {false, true}) {
       const PoolKey key{machine_type.name, zone, spot};
       pools.push_back(pool_without_machines(machine_type, key, provisioning, now));
--- a/src/autoscaler/scale_in.cpp
+++ b/src/autoscaler/scale_in.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "autoscaler/boot_time.hpp"
 #include "config/constants.hpp"
 
 namespace elmstall::autoscaler {
@@ -39,7 +40,7 @@
   const double fleet_size = std::max<double>(1, static_cast<double>(model_.machines().size()));
   const double scale =
       std::clamp(std::sqrt(k::kIdleShareFleetSize / fleet_size), k::kIdleScaleMin, 1.0);
-  return settings_.tuning.idle_share * scale * machine_type.ready_s;
+  return settings_.tuning.idle_share * scale * boot_time_s(machine_type);
 }
 
 bool ScaleIn::update_idle_since(state::Machine& machine, double now) {
--- a/src/autoscaler/task_packing.cpp
+++ b/src/autoscaler/task_packing.cpp
@@ -15,9 +15,4 @@
   return std::floor(1.0 / share_of_machine + sched::Amount::kSlack);
 }
 
-const std::vector<std::string>& zones_of(const wire::MachineType& machine_type,
-                                         const config::Settings& settings) {
-  return machine_type.zones.empty() ? settings.zones : machine_type.zones;
-}
-
 }  // namespace elmstall::autoscaler
--- a/src/autoscaler/task_packing.hpp
+++ b/src/autoscaler/task_packing.hpp
@@ -17,9 +17,4 @@
 [[nodiscard]] std::optional<double> tasks_per_machine(const sched::Amount& task_need,
                                                       const wire::MachineType& machine_type);
 
-/// The zones in which the cloud offers the machine type: its own list, or all zones of the
-/// deployment when the type names none.
-[[nodiscard]] const std::vector<std::string>& zones_of(const wire::MachineType& machine_type,
-                                                       const config::Settings& settings);
-
 }  // namespace elmstall::autoscaler
--- a/src/autoscaler/zone_planner.cpp
+++ b/src/autoscaler/zone_planner.cpp
@@ -58,7 +58,7 @@
 
 std::map<std::string, ZoneDemand> ZonePlanner::demand_by_zone(const wire::MachineType& machine_type,
                                                               double now) const {
-  const auto& zones = zones_of(machine_type, settings_);
+  const auto& zones = machine_type.zones_or(settings_.zones);
   std::map<std::string, ZoneDemand> demand;
   for (const auto& [id, job] : model_.jobs()) {
     // The tasks of a job that was just submitted may still fit on existing machines.
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -412,6 +412,8 @@
 /// Seconds. Terminations are batched for this long, because every request counts against the
 /// cloud's rate limit and one may contain up to a hundred machines.
 inline constexpr double kTerminationInterval = 1.0;
+/// Seconds. Boot time of a machine type for which the cloud states none.
+inline constexpr double kBootTimeDefault = 60.0;
 /// Multiple of `ready_s`. A machine that has not booted after this time is terminated. Boots
 /// usually take up to 1.5 times `ready_s`.
 inline constexpr double kBootTimeoutFactor = 3.0;
--- a/src/controller/node.cpp
+++ b/src/controller/node.cpp
@@ -221,10 +221,8 @@
   if (const auto& lead = mirror_.lead()) learn_term(lead->term, lead->node);
   learn_term(mirror_.term(), terms_.leader());
   if (leader_) leader_->on_change(keys);
-  if (machine_types_.empty() && mirror_.machine_types()) {
-    const auto document = wire::Document::parse(mirror_.machine_types()->packed);
-    use_machine_types(wire::decode_machine_types(document.root()));
-  }
+  if (machine_types_.empty() && mirror_.machine_types())
+    use_machine_types(mirror_.machine_types()->record.types);
   read_index_.check();
   election_.evaluate();
 }
--- a/src/election/leadership_renewal.cpp
+++ b/src/election/leadership_renewal.cpp
@@ -33,7 +33,7 @@
   if (!machine_types_recorded_ && !machine_types.empty() && !context_.mirror.machine_types()) {
     const std::string key(store::kTypesKey);
     transaction.preconditions.push_back({key, 0});
-    transaction.writes.push_back({key, wire::encode_machine_types(machine_types), 0});
+    transaction.writes.push_back({key, store::encode(store::MachineTypesRecord{machine_types}), 0});
   }
   machine_types_recorded_ = true;
   const double sent_at = context_.event_loop.now();
--- a/src/store/keys.hpp
+++ b/src/store/keys.hpp
@@ -32,7 +32,7 @@
 inline constexpr std::string_view kTermKey = "elm/l/term";
 /// Key of the LeadRecord.
 inline constexpr std::string_view kLeadKey = "elm/l/lead";
-/// Key of the machine types, stored as wire::encode_machine_types() packs them.
+/// Key of the machine types (MachineTypesRecord).
 inline constexpr std::string_view kTypesKey = "elm/l/types";
 /// A key that is never written. Reading it is the cheapest way to get the store's present
 /// revision, which the reply for a missing key contains.
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -158,7 +158,7 @@
       lead_revision_ = mod_revision;
       break;
     case Key::Kind::types:
-      machine_types_ = Value{packed, mod_revision};
+      machine_types_ = MachineTypes{decode_machine_types(packed), mod_revision};
       break;
     case Key::Kind::job:
       put_job(key.id, packed, mod_revision);
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -23,9 +23,9 @@
 /// The replica. A revision is the state store's version number: 0 stands for "none".
 class Mirror {
  public:
-  /// A value in its stored encoding.
-  struct Value {
-    std::string packed;              ///< the value, as MessagePack
+  /// The recorded machine types.
+  struct MachineTypes {
+    MachineTypesRecord record;       ///< the types
     std::uint64_t mod_revision = 0;  ///< revision of its last change
   };
   /// The latest state of a block, and which value of the ledger log it was read from.
@@ -111,8 +111,8 @@
   [[nodiscard]] const std::optional<LeadRecord>& lead() const { return lead_; }
   /// Modification revision of the leader's record; 0 if there is none.
   [[nodiscard]] std::uint64_t lead_revision() const { return lead_ ? lead_revision_ : 0; }
-  /// The recorded machine types, as packed by wire::encode_machine_types().
-  [[nodiscard]] const std::optional<Value>& machine_types() const { return machine_types_; }
+  /// The recorded machine types; std::nullopt if none are recorded, or the record can't be decoded.
+  [[nodiscard]] const std::optional<MachineTypes>& machine_types() const { return machine_types_; }
   /// The status of a job as it is in the mirror. The caller must have checked that the job exists.
   [[nodiscard]] wire::JobStatus status(const std::string& id) const;
 
@@ -136,7 +136,7 @@
   std::uint64_t term_revision_ = 0;
   std::optional<LeadRecord> lead_;
   std::uint64_t lead_revision_ = 0;
-  std::optional<Value> machine_types_;
+  std::optional<MachineTypes> machine_types_;
   std::map<std::string, Job> jobs_;
   std::size_t job_record_bytes_ = 0;  ///< sum of Job::packed_bytes
   std::set<std::string> cancelled_;
--- a/src/store/record_codec.cpp
+++ b/src/store/record_codec.cpp
@@ -1,6 +1,13 @@
 #include "store/record_codec.hpp"
 
 namespace elmstall::store {
+namespace {
+
+/// Value of the field `form` of recorded machine types whose lists of zones may be empty. Versions
+/// without the field wrote an empty list where the cloud had stated no zones.
+constexpr std::uint64_t kFormWithEmptyZones = 2;
+
+}  // namespace
 
 std::string encode(const TermRecord& record) {
   wire::Packer packer;
@@ -38,6 +45,12 @@
   return packer.take();
 }
 
+std::string encode(const MachineTypesRecord& record) {
+  wire::Packer packer;
+  wire::pack_machine_types(packer.map(2).key("builds"), record.types);
+  return packer.key("form").integer(kFormWithEmptyZones).take();
+}
+
 TermRecord decode_term(std::string_view packed) {
   return {wire::Document::parse(packed).fields().integer("n")};
 }
@@ -69,4 +82,14 @@
   return record;
 }
 
+MachineTypesRecord decode_machine_types(std::string_view packed) {
+  const auto document = wire::Document::parse(packed);
+  MachineTypesRecord record{wire::decode_machine_types(document.root())};
+  if (document.fields().integer_or("form", 0) >= kFormWithEmptyZones) return record;
+  for (auto& machine_type : record.types) {
+    if (machine_type.zones && machine_type.zones->empty()) machine_type.zones.reset();
+  }
+  return record;
+}
+
 }  // namespace elmstall::store
--- a/src/store/record_codec.hpp
+++ b/src/store/record_codec.hpp
@@ -23,6 +23,8 @@
 [[nodiscard]] std::string encode(const DelegationRecord& record);
 /// The value to store under the `final_key` of the job.
 [[nodiscard]] std::string encode(const FinalRecord& record);
+/// The value to store under `kTypesKey`.
+[[nodiscard]] std::string encode(const MachineTypesRecord& record);
 
 /// Reads the value of `kTermKey`.
 [[nodiscard]] TermRecord decode_term(std::string_view packed);
@@ -34,5 +36,7 @@
 [[nodiscard]] DelegationRecord decode_delegation(std::string_view packed);
 /// Reads the value of a `final_key`.
 [[nodiscard]] FinalRecord decode_final(std::string_view packed);
+/// Reads the value of `kTypesKey`.
+[[nodiscard]] MachineTypesRecord decode_machine_types(std::string_view packed);
 
 }  // namespace elmstall::store
--- a/src/store/record_types.hpp
+++ b/src/store/record_types.hpp
@@ -89,6 +89,11 @@
   std::vector<MachineEntry> machines;  ///< the machines that changed, or were copied
 };
 
+/// The machine types that the cloud offered when they were recorded.
+struct MachineTypesRecord {
+  std::vector<wire::MachineType> types;  ///< in the order of the cloud's response
+};
+
 /// The final state of a job. It never changes once it is written.
 struct FinalRecord {
   wire::JobState state = wire::JobState::done;  ///< `done` or `cancelled`
--- a/src/wire/cloud.cpp
+++ b/src/wire/cloud.cpp
@@ -24,12 +24,19 @@
     {"ready_s", &MachineType::ready_s, Presence::optional},
 }};
 
+/// The zones in which a machine type is offered, as far as the cloud states them.
+std::optional<std::vector<std::string>> decode_zones(const Fields& fields) {
+  const auto* zones = fields.find("yards");
+  if (zones == nullptr) return std::nullopt;
+  return texts(zones, "yards");
+}
+
 MachineType decode_machine_type(const Object& object) {
   const Fields fields(object);
   MachineType machine_type;
-  machine_type.name = fields.text("name");
+  machine_type.name = decode_name(fields, "name");
   decode_amounts(fields, kMachineTypeAmounts, machine_type);
-  machine_type.zones = texts(fields.find("yards"), "yards");
+  machine_type.zones = decode_zones(fields);
   return machine_type;
 }
 
@@ -37,17 +44,22 @@
   packer.map(kMachineTypeAmounts.size() + 2);
   packer.key("name").text(machine_type.name);
   pack_amounts(packer, kMachineTypeAmounts, machine_type);
-  packer.key("yards").texts(machine_type.zones);
+  packer.key("yards");
+  if (machine_type.zones) {
+    packer.texts(*machine_type.zones);
+  } else {
+    packer.null();
+  }
 }
 
 CloudMachine decode_cloud_machine(const Object& object) {
   const Fields fields(object);
   CloudMachine machine;
-  machine.id = fields.text("uid");
+  machine.id = decode_name(fields, "uid");
   machine.addr = fields.maybe_text("addr").value_or("");
-  machine.type = fields.text("build");
-  machine.zone = fields.text("yard");
-  machine.spot = fields.flag_or("loaners", false);
+  machine.type = decode_name(fields, "build");
+  machine.zone = decode_name(fields, "yard");
+  machine.spot = fields.flag("loaners");
   machine.state = parse_enum(kMachineStates, fields.text("status"), "status");
   machine.age_s = fields.maybe_number("held_s").value_or(0);
   return machine;
@@ -63,17 +75,21 @@
   return machine_types;
 }
 
+void pack_machine_types(Packer& packer, const std::vector<MachineType>& machine_types) {
+  packer.list(machine_types.size());
+  for (const auto& machine_type : machine_types) pack_machine_type(packer, machine_type);
+}
+
 std::string encode_machine_types(const std::vector<MachineType>& machine_types) {
   Packer packer;
-  packer.map(1).key("builds").list(machine_types.size());
-  for (const auto& machine_type : machine_types) pack_machine_type(packer, machine_type);
+  pack_machine_types(packer.map(1).key("builds"), machine_types);
   return packer.take();
 }
 
 CloudPage decode_cloud_page(const Object& object) {
   const Fields fields(object);
   CloudPage page;
-  page.truncated = fields.flag_or("truncated", false);
+  page.truncated = fields.flag("truncated");
   for (const auto& item : elements(&fields.require("hosts"), "hosts"))
     page.machines.push_back(decode_cloud_machine(item));
   return page;
@@ -97,7 +113,9 @@
 }
 
 std::vector<std::string> decode_machine_ids(const Object& object) {
-  return texts(&Fields(object).require("hosts"), "hosts");
+  auto machines = texts(&Fields(object).require("hosts"), "hosts");
+  for (const auto& machine : machines) check_name(machine, "hosts");
+  return machines;
 }
 
 }  // namespace elmstall::wire
--- a/src/wire/cloud.hpp
+++ b/src/wire/cloud.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,19 +16,28 @@
 /// A machine type that the cloud offers. Prices are in a unit that the cloud chooses; the program
 /// only compares them with each other.
 struct MachineType {
-  std::string name;                ///< name used in provision requests
-  double cpus = 0;                 ///< processor cores
-  double gpus = 0;                 ///< graphics processors
-  double memory_gb = 0;            ///< main memory, GB
-  double cache_gb = 0;             ///< local storage for images, GB
-  double fetch_gb_per_s = 0;       ///< rate of fetching an image, GB per second; 0: not stated
-  double price = 0;                ///< price of an ordinary machine
-  double spot_price = 0;           ///< price of a spot machine
-  double ready_s = 0;              ///< typical provisioning time, seconds
-  std::vector<std::string> zones;  ///< zones in which it is offered
+  std::string name;           ///< name used in provision requests
+  double cpus = 0;            ///< processor cores
+  double gpus = 0;            ///< graphics processors
+  double memory_gb = 0;       ///< main memory, GB
+  double cache_gb = 0;        ///< local storage for images, GB
+  double fetch_gb_per_s = 0;  ///< rate of fetching an image, GB per second; 0: not stated
+  double price = 0;           ///< price of an ordinary machine
+  double spot_price = 0;      ///< price of a spot machine
+  double ready_s = 0;         ///< typical provisioning time, seconds; 0: not stated
+  /// Zones in which it is offered: none if the list is empty. Nothing: not stated.
+  std::optional<std::vector<std::string>> zones;
+
+  /// The zones in which it is offered: those of the deployment if the cloud does not state them.
+  [[nodiscard]] const std::vector<std::string>& zones_or(
+      const std::vector<std::string>& deployment_zones) const {
+    return zones ? *zones : deployment_zones;
+  }
 };
-/// Reads the cloud's response, or the machine types as stored in the state store.
+/// Reads the cloud's response.
 [[nodiscard]] std::vector<MachineType> decode_machine_types(const Object& object);
+/// Adds a list of machine types, in the form of the cloud's response.
+void pack_machine_types(Packer& packer, const std::vector<MachineType>& machine_types);
 /// Writes the machine types in the form of the cloud's response.
 [[nodiscard]] std::string encode_machine_types(const std::vector<MachineType>& machine_types);
 
@@ -40,12 +50,12 @@
     failed    ///< defective; this state is final (docs/design.md, rule 6)
   };
   std::string id;                ///< identifier that the cloud assigned
-  std::string addr;              ///< empty until an address is assigned
+  std::string addr;              ///< empty while no address is known
   std::string type;              ///< machine type
   std::string zone;              ///< zone in which it runs
   bool spot = false;             ///< whether it is a spot machine
   State state = State::booting;  ///< state of the machine, not of its worker
-  double age_s = 0;              ///< seconds since it was provisioned
+  double age_s = 0;              ///< seconds since it was provisioned; 0 if that is not stated
 };
 /// One page of the machine list.
 struct CloudPage {
--- a/src/wire/jobs.cpp
+++ b/src/wire/jobs.cpp
@@ -35,12 +35,6 @@
 }};
 constexpr std::size_t kJobFields = 20;
 
-std::string decode_name(const Fields& fields, std::string_view key) {
-  auto text = fields.text(key);
-  check_name(text, key);
-  return text;
-}
-
 std::uint32_t decode_task_count(const Fields& fields) {
   const auto tasks = fields.integer("shards");
   if (tasks == 0 || tasks > constants::kMaxTasks)
--- a/src/wire/names.cpp
+++ b/src/wire/names.cpp
@@ -19,4 +19,10 @@
     throw DecodeError("field '" + std::string(field) + "' is empty or too long");
 }
 
+std::string decode_name(const Fields& fields, std::string_view key) {
+  auto name = fields.text(key);
+  check_name(name, key);
+  return name;
+}
+
 }  // namespace elmstall::wire
--- a/src/wire/names.hpp
+++ b/src/wire/names.hpp
@@ -99,5 +99,7 @@
 
 /// Throws DecodeError if the text is empty or too long for a name.
 void check_name(const std::string& text, std::string_view field);
+/// Reads a name. Throws DecodeError if it is missing, empty or too long.
+[[nodiscard]] std::string decode_name(const Fields& fields, std::string_view key);
 
 }  // namespace elmstall::wire
--- a/tests/absent_values_test.cpp
+++ b/tests/absent_values_test.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "api/admission.hpp"
+#include "autoscaler/boot_time.hpp"
 #include "store/records.hpp"
 #include "support/jobs.hpp"
 
@@ -161,6 +162,62 @@
   return due_s ? "due after " + std::to_string(static_cast<int>(*due_s)) + " s" : "no deadline";
 }
 
+// --- cloud -----------------------------------------------------------------------------------
+
+Field offered(const char* name, std::string_view field, Empty empty, std::string absent,
+              std::string when_empty,
+              std::function<std::string(const std::vector<wire::MachineType>&)> read) {
+  return {name,
+          in_message(cloud_types, {"builds", field}, empty,
+                     [=](const std::string& response) { return read(types_in(response)); }),
+          absent, absent, when_empty};
+}
+
+std::string booting(const std::vector<wire::MachineType>& types) {
+  const double boot_s = autoscaler::boot_time_s(types.front());
+  return boot_s == constants::kBootTimeDefault ? "usual boot time" : "another boot time";
+}
+
+std::string machine_list() {
+  wire::Packer packer;
+  packer.map(2).key("truncated").flag(true).key("hosts").list(1).map(7);
+  packer.key("uid").text("host-1").key("addr").text("10.1.0.1:9000").key("build").text("m12");
+  packer.key("yard").text("north").key("loaners").flag(true).key("status").text("running");
+  packer.key("held_s").number(5);
+  return packer.take();
+}
+
+Field listed(const char* name, Path path, Empty empty, std::string absent, std::string when_empty,
+             std::function<std::string(const wire::CloudPage&)> read = {}) {
+  const auto read_page = [=](const std::string& response) {
+    const auto page = wire::decode_cloud_page(wire::Document::parse(response).root());
+    return read ? read(page) : std::string("accepted");
+  };
+  return {name, in_message(machine_list, std::move(path), empty, read_page), absent, absent,
+          when_empty};
+}
+
+std::string machines_in_list(const wire::CloudPage& page) {
+  return std::to_string(page.machines.size()) + " machines";
+}
+
+std::string end_of_list(const wire::CloudPage& page) {
+  return page.truncated ? "more pages" : "last page";
+}
+
+std::string kind_of_listed(const wire::CloudPage& page) {
+  return page.machines.front().spot ? "spot" : "ordinary";
+}
+
+std::string address_of_listed(const wire::CloudPage& page) {
+  return page.machines.front().addr.empty() ? "no address known" : "an address";
+}
+
+std::string provisioned(const std::string& response) {
+  const auto machines = wire::decode_machine_ids(wire::Document::parse(response).root());
+  return std::to_string(machines.size()) + " machines";
+}
+
 // --- records ---------------------------------------------------------------------------------
 
 Field recorded(const char* name, std::function<std::string()> record, Path path, Empty empty,
@@ -193,11 +250,28 @@
   return zone ? "zone '" + *zone + "'" : "any zone";
 }
 
+std::string types_record() {
+  return store::encode(store::MachineTypesRecord{types_in(cloud_types())});
+}
+
+std::string recorded_zones(const std::string& record) {
+  const auto zones = store::decode_machine_types(record).types.front().zones;
+  return zones ? std::to_string(zones->size()) + " zones" : "zones not stated";
+}
+
+/// The same after the record was read and written once more.
+std::string recorded_zones_after_rewrite(const std::string& record) {
+  return recorded_zones(store::encode(store::decode_machine_types(record)));
+}
+
 // --- the test --------------------------------------------------------------------------------
 
 const std::vector<Field>& fields() {
   static const std::string no_type(api::to_text(api::RejectionReason::no_allowed_machine_type));
   static const std::string no_fit(api::to_text(api::RejectionReason::no_fitting_machine_type));
+  static const auto submitted_to = [](const std::vector<wire::MachineType>& types) {
+    return admission(submission(), types);
+  };
   static const std::vector<Field> all{
       submitted("SubmissionTypes", "builds", Empty::list, "accepted", no_type),
       submitted("SubmissionZone", "yard", Empty::text, "accepted", no_fit),
@@ -208,12 +282,37 @@
       {"SubmissionDeadline", in_message(submission, {"due_s"}, Empty::number, deadline),
        "no deadline", "no deadline", "due after 0 s"},
 
+      offered("MachineTypeZones", "yards", Empty::list, "accepted", no_fit, submitted_to),
+      offered("MachineTypeName", "name", Empty::text, kMalformed, kMalformed, submitted_to),
+      offered("MachineTypeBootTime", "ready_s", Empty::number, "usual boot time", "usual boot time",
+              booting),
+      listed("ListedMachines", {"hosts"}, Empty::list, kMalformed, "0 machines", machines_in_list),
+      listed("ListEnd", {"truncated"}, Empty::flag, kMalformed, "last page", end_of_list),
+      listed("ListedId", {"hosts", "uid"}, Empty::text, kMalformed, kMalformed),
+      listed("ListedType", {"hosts", "build"}, Empty::text, kMalformed, kMalformed),
+      listed("ListedZone", {"hosts", "yard"}, Empty::text, kMalformed, kMalformed),
+      listed("ListedKind", {"hosts", "loaners"}, Empty::flag, kMalformed, "ordinary",
+             kind_of_listed),
+      listed("ListedAddress", {"hosts", "addr"}, Empty::text, "no address known",
+             "no address known", address_of_listed),
+      {"ProvisionedMachines",
+       in_message([] { return wire::encode_machine_ids({"host-1"}); }, {"hosts"}, Empty::list,
+                  provisioned),
+       kMalformed, kMalformed, "0 machines"},
+
       recorded("RecordedTypes", job_record, {"spec", "builds"}, Empty::list, "any type", "no type",
                types_of_record),
       recorded("RecordedTypesRewritten", job_record, {"spec", "builds"}, Empty::list, "any type",
                "no type", types_after_rewrite),
       recorded("RecordedZone", job_record, {"spec", "yard"}, Empty::text, "any zone", "zone ''",
                zone_of_record),
+      recorded("RecordedMachineTypeZones", types_record, {"builds", "yards"}, Empty::list,
+               "zones not stated", "0 zones", recorded_zones),
+      recorded("RecordedMachineTypeZonesRewritten", types_record, {"builds", "yards"}, Empty::list,
+               "zones not stated", "0 zones", recorded_zones_after_rewrite),
+      // An earlier version wrote an empty list also where the cloud had stated no zones.
+      recorded("MachineTypeZonesOfAnEarlierVersion", cloud_types, {"builds", "yards"}, Empty::list,
+               "zones not stated", "zones not stated", recorded_zones),
   };
   return all;
 }
--- a/tests/machine_failures_test.cpp
+++ b/tests/machine_failures_test.cpp
@@ -9,6 +9,27 @@
 
 using wire::JobState;
 
+/// Guards against tasks that are lost with a machine that is returned too early: a page of the
+/// cloud's list that announces more and has no entry once passed for the end of the list, and a
+/// silent machine that is not listed is returned before its lease ends.
+TEST(SilentMachine, IsNotTakenForUnlistedWhenAPageOfTheListIsEmpty) {
+  World world(36);
+  world.submit(array(1, 8, 300));
+  world.run_until(40);
+  auto* worker = worker_of(world, "job-1");
+  ASSERT_NE(worker, nullptr);
+  world.cloud.empty_pages = true;
+  world.run_for(8);
+  worker->cut = true;
+  world.run_for(12);
+  worker->cut = false;
+  EXPECT_FALSE(worker->dead());
+  const auto* machine = machine_of(world, *worker);
+  ASSERT_NE(machine, nullptr);
+  EXPECT_FALSE(machine->terminating);
+  expect_no_violations(world);
+}
+
 TEST(UnresponsiveMachine, TasksMoveAndNoNewTasksAreAssignedUntilItRecovers) {
   World world(34);
   world.submit(array(1, 4, 300));
--- a/tests/support/fake_cloud.cpp
+++ b/tests/support/fake_cloud.cpp
@@ -44,7 +44,8 @@
   const double lag = world_.settings.list_lag_s * (1 + world_.random());
   world_.loop.after(kResponseDelay,
                     [this, page = page_at(world_.loop.now() - lag), done = std::move(done)] {
-                      done(down ? std::nullopt : std::optional(page));
+                      if (down) return done(std::nullopt);
+                      done(empty_pages ? wire::CloudPage{{}, true} : page);
                     });
 }
 
--- a/tests/support/fake_cloud.hpp
+++ b/tests/support/fake_cloud.hpp
@@ -29,6 +29,8 @@
 
   /// Every request fails.
   bool down = false;
+  /// The list is answered with a page that announces more and has no entry.
+  bool empty_pages = false;
   /// Machines that can still be rented.
   int capacity = 12;
   /// Number of coming provisioning requests that are executed without a response.
