A heartbeat without its list of tasks proves nothing

Found by reading, not seen to happen: workers send these fields. A heartbeat without `shards` was read as one with an empty list, which proves that no task is on the machine (rule 3), so that they are started elsewhere (ran_twice). Without `loaners` the machine was an ordinary one (wrong_place). An empty type or zone was a name. Change: such a heartbeat is malformed: 400, and as the reply to a command RPC no reply. Fields that may be null stay optional, and so does the token: without it a heartbeat shows none, which proves least. The test of unknown task states sent a heartbeat without `loaners`, which the protocol does not allow; it has the field now and checks the same. Seen to fail before: HeartbeatTasks, HeartbeatKind, HeartbeatType and HeartbeatZone of AbsentValues.

--- a/src/wire/workers.cpp
+++ b/src/wire/workers.cpp
@@ -118,17 +118,18 @@
 WorkerHeartbeat decode_heartbeat(const Object& object) {
   const Fields fields(object);
   WorkerHeartbeat heartbeat;
-  heartbeat.machine = fields.text("host");
-  check_name(heartbeat.machine, "host");
+  heartbeat.machine = decode_name(fields, "host");
   heartbeat.addr = fields.maybe_text("addr").value_or("");
-  heartbeat.type = fields.text("build");
-  heartbeat.zone = fields.text("yard");
-  heartbeat.spot = fields.flag_or("loaners", false);
+  heartbeat.type = decode_name(fields, "build");
+  heartbeat.zone = decode_name(fields, "yard");
+  heartbeat.spot = fields.flag("loaners");
   heartbeat.epoch = fields.integer("shift");
   heartbeat.sequence = fields.integer("tick");
   heartbeat.token = fields.integer_or("baton", 0);
   heartbeat.interruption_in_s = fields.maybe_number("recall_s");
-  for (const auto& item : elements(fields.find("shards"), "shards"))
+  // A heartbeat without the list says nothing about the tasks. It must not pass for one whose list
+  // is empty, which proves that no task is on the machine (rule 3).
+  for (const auto& item : elements(&fields.require("shards"), "shards"))
     heartbeat.tasks.push_back(decode_task(item));
   return heartbeat;
 }
--- a/src/wire/workers.hpp
+++ b/src/wire/workers.hpp
@@ -56,7 +56,7 @@
   bool spot = false;           ///< whether it is a spot machine
   std::uint64_t epoch = 0;     ///< worker session; a new one begins whenever the lease expires
   std::uint64_t sequence = 0;  ///< increases with every heartbeat of the epoch
-  std::uint64_t token = 0;     ///< highest fencing token that the worker has seen
+  std::uint64_t token = 0;     ///< highest fencing token that the worker has seen; 0: none
   /// Seconds until the cloud reclaims a spot machine; nothing without an interruption notice.
   std::optional<double> interruption_in_s;
   std::vector<TaskStatus>
--- a/tests/absent_values_test.cpp
+++ b/tests/absent_values_test.cpp
@@ -12,6 +12,8 @@
 
 #include "api/admission.hpp"
 #include "autoscaler/boot_time.hpp"
+#include "election/term_tracker.hpp"
+#include "peer/messages.hpp"
 #include "store/records.hpp"
 #include "support/jobs.hpp"
 
@@ -218,6 +220,46 @@
   return std::to_string(machines.size()) + " machines";
 }
 
+// --- workers ---------------------------------------------------------------------------------
+
+std::string heartbeat() {
+  wire::WorkerHeartbeat heartbeat{"host-1", "10.1.0.1:9000", "m12", "north", true, 3, 4, 5, 60.0,
+                                  {}};
+  heartbeat.tasks = {{"job-1", 0, 1, wire::TaskState::ended, wire::EndCause::done, true}};
+  return wire::encode_heartbeat(heartbeat);
+}
+
+Field reported(const char* name, Path path, Empty empty, std::string absent, std::string when_empty,
+               std::function<std::string(const wire::WorkerHeartbeat&)> read = {}) {
+  const auto read_heartbeat = [=](const std::string& body) {
+    const auto decoded = wire::decode_heartbeat(wire::Document::parse(body).root());
+    return read ? read(decoded) : std::string("accepted");
+  };
+  return {name, in_message(heartbeat, std::move(path), empty, read_heartbeat), absent, absent,
+          when_empty};
+}
+
+std::string tasks_reported(const wire::WorkerHeartbeat& heartbeat) {
+  return std::to_string(heartbeat.tasks.size()) + " tasks";
+}
+
+std::string kind_reported(const wire::WorkerHeartbeat& heartbeat) {
+  return heartbeat.spot ? "spot" : "ordinary";
+}
+
+std::string notice(const wire::WorkerHeartbeat& heartbeat) {
+  if (!heartbeat.interruption_in_s) return "no notice";
+  return "taken in " + std::to_string(static_cast<int>(*heartbeat.interruption_in_s)) + " s";
+}
+
+std::string address_reported(const wire::WorkerHeartbeat& heartbeat) {
+  return heartbeat.addr.empty() ? "no address known" : "an address";
+}
+
+std::string cause(const wire::WorkerHeartbeat& heartbeat) {
+  return heartbeat.tasks.front().cause == wire::EndCause::other ? "unknown cause" : "a cause";
+}
+
 // --- records ---------------------------------------------------------------------------------
 
 Field recorded(const char* name, std::function<std::string()> record, Path path, Empty empty,
@@ -264,6 +306,31 @@
   return recorded_zones(store::encode(store::decode_machine_types(record)));
 }
 
+// --- messages between controllers, which have no null and no absent fields ---------------------
+
+/// Who is known to lead after a heartbeat of a controller that does not know it.
+std::string leader_of_peer(Given) {
+  election::TermTracker terms;
+  terms.learn(4, "node-1");
+  peer::Heartbeat heartbeat;
+  heartbeat.term = 4;
+  const auto received = std::get<peer::Heartbeat>(peer::decode(peer::encode(heartbeat)));
+  terms.learn(received.term, received.leader);
+  return terms.leader();
+}
+
+/// What becomes of a forwarded heartbeat without a body.
+std::string forwarded_body(Given) {
+  const auto received =
+      std::get<peer::ForwardedHeartbeat>(peer::decode(peer::encode(peer::ForwardedHeartbeat{})));
+  try {
+    (void)wire::decode_heartbeat(wire::Document::parse(received.body).root());
+    return "accepted";
+  } catch (const wire::DecodeError&) {
+    return kMalformed;
+  }
+}
+
 // --- the test --------------------------------------------------------------------------------
 
 const std::vector<Field>& fields() {
@@ -300,6 +367,17 @@
                   provisioned),
        kMalformed, kMalformed, "0 machines"},
 
+      reported("HeartbeatTasks", {"shards"}, Empty::list, kMalformed, "0 tasks", tasks_reported),
+      reported("HeartbeatKind", {"loaners"}, Empty::flag, kMalformed, "ordinary", kind_reported),
+      reported("HeartbeatMachine", {"host"}, Empty::text, kMalformed, kMalformed),
+      reported("HeartbeatType", {"build"}, Empty::text, kMalformed, kMalformed),
+      reported("HeartbeatZone", {"yard"}, Empty::text, kMalformed, kMalformed),
+      reported("HeartbeatNotice", {"recall_s"}, Empty::number, "no notice", "taken in 0 s", notice),
+      reported("HeartbeatAddress", {"addr"}, Empty::text, "no address known", "no address known",
+               address_reported),
+      reported("HeartbeatCause", {"shards", "cause"}, Empty::text, "unknown cause", "unknown cause",
+               cause),
+
       recorded("RecordedTypes", job_record, {"spec", "builds"}, Empty::list, "any type", "no type",
                types_of_record),
       recorded("RecordedTypesRewritten", job_record, {"spec", "builds"}, Empty::list, "any type",
@@ -313,6 +391,9 @@
       // An earlier version wrote an empty list also where the cloud had stated no zones.
       recorded("MachineTypeZonesOfAnEarlierVersion", cloud_types, {"builds", "yards"}, Empty::list,
                "zones not stated", "zones not stated", recorded_zones),
+
+      {"PeerLeader", leader_of_peer, kInexpressible, kInexpressible, "node-1"},
+      {"PeerForwardedBody", forwarded_body, kInexpressible, kInexpressible, kMalformed},
   };
   return all;
 }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -136,8 +136,9 @@
   // A task state that a later version of the platform adds must not make the whole heartbeat
   // invalid: the worker's lease expires if its heartbeats are not answered.
   Packer packer;
-  packer.map(6).key("host").text("host-1").key("build").text("g8").key("yard").text("a");
-  packer.key("shift").integer(1).key("tick").integer(2).key("shards").list(1);
+  packer.map(7).key("host").text("host-1").key("build").text("g8").key("yard").text("a");
+  packer.key("loaners").flag(true).key("shift").integer(1).key("tick").integer(2);
+  packer.key("shards").list(1);
   packer.map(3).key("shard").text("job-1/0").key("try").integer(1).key("status").text("dreaming");
   const auto heartbeat = decode_heartbeat(Document::parse(packer.take()).root());
   ASSERT_EQ(heartbeat.tasks.size(), 1U);
