An answer of the state service that lacks a field proves nothing

Found by reading, not seen to happen: the state service sends these fields. Without `log` a watch said that nothing had changed, and the mirror called itself current. Without `ledger_rev` the absence of a key said revision 0, a read index that every mirror has reached. Without `truncated` a page was the last one: jobs on later pages got 404. A page that announces more and has no entry left the mirror incomplete for good. A conflict without `failed` passed for another controller's change. And a key whose value is null, which is a value, made the whole answer malformed, so that one such key stops the mirror. Change: these answers are malformed, that is unknown, and asked again or read back; null is a value. A value of the log that can't be decoded no longer ends the leader that reads it back. Seen to fail before: MirrorFollower.ListsAgainAfterAPageWithoutEntries..., and of AbsentValues ListingEnd, ListingValue, WatchChanges, WatchValue, StoreRevision and FailedPreconditions.

--- a/src/state/group_commit.cpp
+++ b/src/state/group_commit.cpp
@@ -21,6 +21,17 @@
 /// short, because the read-back has taken time already.
 constexpr double kReadBackPause = 0.05;
 
+/// Whether the slot holds the value with this number. A slot that can't be decoded does not.
+bool holds_value(const store::GetResult& slot, std::uint64_t number) {
+  if (slot.outcome != Outcome::ok) return false;
+  try {
+    return store::decode_slot(slot.entry.value).number == number;
+  } catch (const wire::DecodeError& error) {
+    spdlog::error("the value in {} can't be read: {}", slot.entry.key, error.what());
+    return false;
+  }
+}
+
 bool failed_on(const store::CommitResult& result, const std::string& key) {
   return std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end();
 }
@@ -211,10 +222,7 @@
   busy_ = true;
   // A transaction is applied whole or not at all, so one of its values is enough to look at.
   read_slot(pending, pending->values.front().slot, [this, pending](const store::GetResult& result) {
-    const bool applied =
-        result.outcome == Outcome::ok &&
-        store::decode_slot(result.entry.value).number == pending->values.front().number;
-    if (!applied) return refresh_slots(pending);
+    if (!holds_value(result, pending->values.front().number)) return refresh_slots(pending);
     busy_ = false;
     on_applied(*pending, result.entry.mod_revision);
   });
--- a/src/store/mirror_follower.cpp
+++ b/src/store/mirror_follower.cpp
@@ -27,16 +27,18 @@
 }
 
 void MirrorFollower::on_listed(const ListResult& result, const std::string& after) {
-  if (result.outcome != Outcome::ok) {
+  const auto& listing = result.listing;
+  // A page that announces more but has no entry can't be continued, and is not the last one either.
+  const bool incomplete = listing.truncated && listing.entries.empty();
+  if (result.outcome != Outcome::ok || incomplete) {
     return retry_later([this, after] {
       if (after.empty()) return list_from_start();
       list_after(after);
     });
   }
   auto& mirror = context_.mirror;
-  mirror.load(result.listing);
-  const auto& entries = result.listing.entries;
-  if (result.listing.truncated && !entries.empty()) return list_after(entries.back().key);
+  mirror.load(listing);
+  if (listing.truncated) return list_after(listing.entries.back().key);
   std::vector<Key> jobs;
   for (const auto& [id, job] : mirror.jobs()) jobs.push_back({Key::Kind::job, id, 0});
   context_.on_changed(jobs);
--- a/src/store/state_store.hpp
+++ b/src/store/state_store.hpp
@@ -29,8 +29,9 @@
 /// Result of StateStore::commit().
 struct CommitResult {
   Outcome outcome = Outcome::unknown;  ///< determines which of the other members are set
-  std::uint64_t revision = 0;          ///< revision of the transaction's changes, with `ok`
-  std::vector<std::string> failed;     ///< keys whose precondition failed, with `conflict`
+  /// With `ok`, the revision of the transaction's changes; with `conflict`, the present one.
+  std::uint64_t revision = 0;
+  std::vector<std::string> failed;  ///< keys whose precondition failed, with `conflict`
 };
 
 /// Result of StateStore::get().
--- a/src/store/state_store_client.cpp
+++ b/src/store/state_store_client.cpp
@@ -84,9 +84,9 @@
     outcome = Outcome::no_lease;
   return decode<CommitResult>(reply, outcome,
                               [](CommitResult& result, const wire::Object& message) {
-                                auto answer = wire::decode_commit_reply(message);
-                                result.revision = answer.revision;
-                                result.failed = std::move(answer.failed);
+                                result.revision = wire::decode_revision(message);
+                                if (result.outcome == Outcome::conflict)
+                                  result.failed = wire::decode_failed_preconditions(message);
                               });
 }
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -47,13 +47,24 @@
   if (object.type != msgpack::type::MAP) throw DecodeError("not a map");
 }
 
-const Object* Fields::find(std::string_view key) const {
+const Object* Fields::field(std::string_view key) const {
   for (const auto& pair : object_.via.map) {
-    if (text_view(pair.key) == key) return pair.val.is_nil() ? nullptr : &pair.val;
+    if (text_view(pair.key) == key) return &pair.val;
   }
   return nullptr;
 }
 
+const Object* Fields::find(std::string_view key) const {
+  const Object* value = field(key);
+  return value == nullptr || value->is_nil() ? nullptr : value;
+}
+
+const Object& Fields::require_or_null(std::string_view key) const {
+  const Object* value = field(key);
+  if (value == nullptr) throw DecodeError(field_error(key, "is missing"));
+  return *value;
+}
+
 const Object& Fields::require(std::string_view key) const {
   const Object* value = find(key);
   if (value == nullptr) throw DecodeError(field_error(key, "is missing"));
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -40,6 +40,8 @@
   [[nodiscard]] const Object* find(std::string_view key) const;
   /// The field. Throws DecodeError if it is missing.
   [[nodiscard]] const Object& require(std::string_view key) const;
+  /// The field, which may be null. Throws DecodeError only if there is no such field.
+  [[nodiscard]] const Object& require_or_null(std::string_view key) const;
 
   /// The text of the field. Throws DecodeError if the field is missing.
   [[nodiscard]] std::string text(std::string_view key) const;
@@ -60,6 +62,9 @@
   [[nodiscard]] bool flag_or(std::string_view key, bool fallback) const;
 
  private:
+  /// The field, which may be null, or a null pointer if there is no such field.
+  [[nodiscard]] const Object* field(std::string_view key) const;
+
   const Object& object_;
 };
 
--- a/src/wire/state.cpp
+++ b/src/wire/state.cpp
@@ -9,7 +9,7 @@
   change.mod_revision = fields.integer("stamp");
   if (auto key = fields.maybe_text("set")) {
     change.key = std::move(*key);
-    change.value = pack_object(fields.require("value"));
+    change.value = pack_object(fields.require_or_null("value"));
   } else {
     change.key = fields.text("delete");
   }
@@ -61,13 +61,14 @@
 
 Entry decode_entry(const Object& object) {
   const Fields fields(object);
-  return {fields.text("key"), pack_object(fields.require("value")), fields.integer("stamp")};
+  return {fields.text("key"), pack_object(fields.require_or_null("value")),
+          fields.integer("stamp")};
 }
 
 Listing decode_listing(const Object& object) {
   const Fields fields(object);
   Listing listing;
-  listing.truncated = fields.flag_or("truncated", false);
+  listing.truncated = fields.flag("truncated");
   listing.revision = fields.integer("ledger_rev");
   for (const auto& item : elements(&fields.require("entries"), "entries"))
     listing.entries.push_back(decode_entry(item));
@@ -78,7 +79,7 @@
   const Fields fields(object);
   Changes changes;
   changes.revision = fields.integer("ledger_rev");
-  for (const auto& item : elements(fields.find("log"), "log"))
+  for (const auto& item : elements(&fields.require("log"), "log"))
     changes.log.push_back(decode_change(item));
   return changes;
 }
@@ -94,18 +95,17 @@
   return packer.take();
 }
 
-CommitReply decode_commit_reply(const Object& object) {
-  const Fields fields(object);
-  return {fields.integer_or("ledger_rev", 0), texts(fields.find("failed"), "failed")};
+std::vector<std::string> decode_failed_preconditions(const Object& object) {
+  auto keys = texts(&Fields(object).require("failed"), "failed");
+  if (keys.empty()) throw DecodeError("field 'failed' names no key");
+  return keys;
 }
 
 bool is_missing_lease_error(std::string_view body) {
   return body.find("no such lease") != std::string_view::npos;
 }
 
-std::uint64_t decode_revision(const Object& object) {
-  return Fields(object).integer_or("ledger_rev", 0);
-}
+std::uint64_t decode_revision(const Object& object) { return Fields(object).integer("ledger_rev"); }
 
 std::string encode_lease_request(double lease_ttl_s) {
   Packer packer;
--- a/src/wire/state.hpp
+++ b/src/wire/state.hpp
@@ -84,19 +84,15 @@
 /// Writes the body of a request to `kCommitPath`.
 [[nodiscard]] std::string encode_transaction(const Transaction& transaction);
 
-/// The response to a transaction.
-struct CommitReply {
-  std::uint64_t revision = 0;       ///< of the changes; 0 if none were made
-  std::vector<std::string> failed;  ///< keys whose precondition failed
-};
-/// Reads the response to a transaction.
-[[nodiscard]] CommitReply decode_commit_reply(const Object& object);
+/// Reads the keys whose preconditions failed from the response to a transaction that was not
+/// applied. There is at least one.
+[[nodiscard]] std::vector<std::string> decode_failed_preconditions(const Object& object);
 /// True if the store rejected a transaction because a lease of its writes does not exist. `body`
 /// is the undecoded body of the response.
 [[nodiscard]] bool is_missing_lease_error(std::string_view body);
 
-/// Reads the store's current revision from the response for a key that does not exist; 0 if the
-/// response does not contain it.
+/// Reads the store's revision from the response for a key that does not exist, or from the response
+/// to a transaction: that of its changes if it was applied, else the present one.
 [[nodiscard]] std::uint64_t decode_revision(const Object& object);
 
 /// A request for a lease that expires `lease_ttl_s` seconds after its last renewal.
--- a/tests/absent_values_test.cpp
+++ b/tests/absent_values_test.cpp
@@ -260,6 +260,68 @@
   return heartbeat.tasks.front().cause == wire::EndCause::other ? "unknown cause" : "a cause";
 }
 
+// --- state store -----------------------------------------------------------------------------
+
+std::string stored_entry(const char* list) {
+  wire::Packer packer;
+  packer.map(3).key("ledger_rev").integer(9).key("truncated").flag(true).key(list).list(1).map(4);
+  packer.key("key").text("elm/l/x").key("set").text("elm/l/x").key("stamp").integer(8);
+  packer.key("value").map(1).key("n").integer(1);
+  return packer.take();
+}
+
+std::string listing() { return stored_entry("entries"); }
+std::string changes() { return stored_entry("log"); }
+
+std::string failed_commit() {
+  wire::Packer packer;
+  packer.map(2).key("ledger_rev").integer(9).key("failed").list(1).text("elm/l/x");
+  return packer.take();
+}
+
+Field from_store(const char* name, std::string (*message)(), Path path, Empty empty,
+                 std::string absent, std::string null, std::string when_empty,
+                 std::function<std::string(const wire::Object&)> read) {
+  return {name,
+          in_message(message, std::move(path), empty,
+                     [=](const std::string& response) {
+                       return read(wire::Document::parse(response).root());
+                     }),
+          std::move(absent), std::move(null), std::move(when_empty)};
+}
+
+std::string end_of_listing(const wire::Object& response) {
+  return wire::decode_listing(response).truncated ? "more pages" : "last page";
+}
+
+std::string entries_listed(const wire::Object& response) {
+  return std::to_string(wire::decode_listing(response).entries.size()) + " entries";
+}
+
+std::string value_listed(const wire::Object& response) {
+  return wire::decode_listing(response).entries.front().value == wire::Packer().null().take()
+             ? "the value null"
+             : "a value";
+}
+
+std::string changes_watched(const wire::Object& response) {
+  return std::to_string(wire::decode_changes(response).log.size()) + " changes";
+}
+
+std::string value_watched(const wire::Object& response) {
+  const auto change = wire::decode_changes(response).log.front();
+  if (!change.value) return "deleted";
+  return *change.value == wire::Packer().null().take() ? "the value null" : "a value";
+}
+
+std::string present_revision(const wire::Object& response) {
+  return "revision " + std::to_string(wire::decode_revision(response));
+}
+
+std::string failed_keys(const wire::Object& response) {
+  return std::to_string(wire::decode_failed_preconditions(response).size()) + " keys";
+}
+
 // --- records ---------------------------------------------------------------------------------
 
 Field recorded(const char* name, std::function<std::string()> record, Path path, Empty empty,
@@ -378,6 +440,21 @@
       reported("HeartbeatCause", {"shards", "cause"}, Empty::text, "unknown cause", "unknown cause",
                cause),
 
+      from_store("ListingEnd", listing, {"truncated"}, Empty::flag, kMalformed, kMalformed,
+                 "last page", end_of_listing),
+      from_store("ListingEntries", listing, {"entries"}, Empty::list, kMalformed, kMalformed,
+                 "0 entries", entries_listed),
+      from_store("ListingValue", listing, {"entries", "value"}, Empty::map, kMalformed,
+                 "the value null", "a value", value_listed),
+      from_store("WatchChanges", changes, {"log"}, Empty::list, kMalformed, kMalformed, "0 changes",
+                 changes_watched),
+      from_store("WatchValue", changes, {"log", "value"}, Empty::map, kMalformed, "the value null",
+                 "a value", value_watched),
+      from_store("StoreRevision", failed_commit, {"ledger_rev"}, Empty::list, kMalformed,
+                 kMalformed, kMalformed, present_revision),
+      from_store("FailedPreconditions", failed_commit, {"failed"}, Empty::list, kMalformed,
+                 kMalformed, kMalformed, failed_keys),
+
       recorded("RecordedTypes", job_record, {"spec", "builds"}, Empty::list, "any type", "no type",
                types_of_record),
       recorded("RecordedTypesRewritten", job_record, {"spec", "builds"}, Empty::list, "any type",
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -5,6 +5,8 @@
 #include "api/concurrency_limit.hpp"
 #include "peer/messages.hpp"
 #include "store/mirror.hpp"
+#include "store/mirror_follower.hpp"
+#include "support/fake_state.hpp"
 
 namespace elmstall::store {
 namespace {
@@ -153,6 +155,37 @@
   EXPECT_NE(mirror.job("job-1"), nullptr);
 }
 
+/// A store that answers the first listing with a page that announces more and has no entry.
+class StoreWithAnEmptyPage : public test::FakeStore {
+ public:
+  using FakeStore::FakeStore;
+  void list(const std::string& prefix, const std::string& since,
+            std::function<void(ListResult)> done) override {
+    if (std::exchange(answered_, true)) return FakeStore::list(prefix, since, std::move(done));
+    done({Outcome::ok, {{}, true, 1}});
+  }
+
+ private:
+  bool answered_ = false;
+};
+
+/// Guards against a node that never gets ready.
+TEST(MirrorFollower, ListsAgainAfterAPageWithoutEntriesThatAnnouncesMore) {
+  test::VirtualLoop time;
+  test::VirtualEventLoop loop(time, 1);
+  runtime::CommandQueue queue(loop, [] {});
+  test::FakeState state(time);
+  (void)state.commit({{}, {{job_key("job-1"), job_value("job-1", false), 0}}});
+  StoreWithAnEmptyPage store(time, state, 1);
+  Mirror mirror;
+  MirrorFollower follower(
+      {loop, queue, store, mirror, [](const std::vector<Key>&) {}, [] { return 0.1; }});
+  follower.start();
+  time.run_until(5);
+  EXPECT_TRUE(mirror.loaded());
+  EXPECT_NE(mirror.job("job-1"), nullptr);
+}
+
 TEST(Mirror, IsLoadedOnceTheWatchHasPassedTheLastPage) {
   Mirror mirror;
   mirror.load({{{job_key("job-1"), job_value("job-1", false), 5}}, true, 10});
