A record that lacks a field is not read as one that says no

A value of the log without its blocks or machines was one with none, so that the next leader knows nothing of tasks that run (rule 1); one that can't be decoded at all was skipped with the same effect. A job's record without its cancel mark was not cancelled. A final state that is empty or unknown was "cancelled". Change: such records can't be read. A node that finds such a value of the log does not stand for leadership, and says so; a leader that has read all of it goes on. Seen to fail before: Takeover.NoNodeLeadsWhileAValueOfTheLogCantBeRead, and of AbsentValues LogBlocks, LogMachines, RecordedCancelMark and FinalState.

--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -34,19 +34,26 @@
   return *found;
 }
 
-bool Election::layout_unreadable() {
-  if (!context_.mirror.earlier_layout()) return false;
-  if (!std::exchange(unreadable_layout_logged_, true)) {
+bool Election::records_unreadable() {
+  const bool earlier_layout = context_.mirror.earlier_layout();
+  // The values may say which tasks are on which machines (rule 1).
+  const bool unreadable_log = !context_.mirror.unreadable_slots().empty();
+  if (!earlier_layout && !unreadable_log) return false;
+  if (std::exchange(unreadable_records_logged_, true)) return true;
+  if (earlier_layout) {
     spdlog::error(
         "the state service holds records of an earlier layout below {}block/ or host/: not "
         "standing for leadership",
         store::kLivePrefix);
+  } else {
+    spdlog::error("{} can't be read: not standing for leadership",
+                  store::slot_key(*context_.mirror.unreadable_slots().begin()));
   }
   return true;
 }
 
 void Election::evaluate() {
-  if (role_ == Role::leader || !context_.mirror.loaded() || layout_unreadable()) return;
+  if (role_ == Role::leader || !context_.mirror.loaded() || records_unreadable()) return;
   if (const auto candidacy = won_candidacy()) return become_leader(*candidacy);
   if (!leadership_open() || role_ == Role::candidate) {
     candidacy_due_at_.reset();
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -62,8 +62,8 @@
   [[nodiscard]] bool leadership_open() const;
   /// The candidacy of this process that the mirror shows as won, if any.
   [[nodiscard]] std::optional<Candidacy> won_candidacy() const;
-  /// Whether the records have a layout that this program can't read.
-  [[nodiscard]] bool layout_unreadable();
+  /// Whether there are records that a leader needs and this program can't read.
+  [[nodiscard]] bool records_unreadable();
   void become_leader(const Candidacy& candidacy);
   void start_candidacy();
   void request_leadership(std::uint64_t lease);
@@ -77,7 +77,7 @@
   std::vector<Candidacy> candidacies_;  ///< that may still win, latest last
   std::uint64_t next_candidacy_ = 1;
   std::optional<double> candidacy_due_at_;  ///< end of the random wait before a candidacy
-  bool unreadable_layout_logged_ = false;
+  bool unreadable_records_logged_ = false;
 };
 
 }  // namespace elmstall::election
--- a/src/store/ledger_codec.cpp
+++ b/src/store/ledger_codec.cpp
@@ -139,9 +139,9 @@
   const auto fields = document.fields();
   SlotRecord slot;
   slot.number = fields.integer("n");
-  for (const auto& block : wire::elements(fields.find("b"), "b"))
+  for (const auto& block : wire::elements(&fields.require("b"), "b"))
     slot.blocks.push_back(decode_block(block));
-  for (const auto& machine : wire::elements(fields.find("h"), "h"))
+  for (const auto& machine : wire::elements(&fields.require("h"), "h"))
     slot.machines.push_back(decode_machine(machine));
   return slot;
 }
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -29,6 +29,7 @@
   job_record_bytes_ = 0;
   cancelled_.clear();
   unreadable_jobs_.clear();
+  unreadable_slots_.clear();
   blocks_.clear();
   machines_.clear();
   slots_.clear();
@@ -99,6 +100,7 @@
     // again after a restart.
     spdlog::error("a record of the state service is skipped: {}", error.what());
     if (key.kind == Key::Kind::job) unreadable_jobs_.insert(key.id);
+    if (key.kind == Key::Kind::slot) unreadable_slots_.insert(key.number);
   }
 }
 
@@ -123,6 +125,7 @@
 }
 
 void Mirror::put_slot(std::uint32_t slot, const SlotRecord& value, std::uint64_t mod_revision) {
+  unreadable_slots_.erase(slot);
   slots_[slot] = {mod_revision, value.number};
   for (const auto& entry : value.blocks) put_block(slot, value.number, entry);
   for (const auto& entry : value.machines) put_machine(slot, value.number, entry);
@@ -191,6 +194,9 @@
     case Key::Kind::delegation:
       delegations_.erase(key.id);
       break;
+    case Key::Kind::slot:
+      unreadable_slots_.erase(key.number);
+      break;
     default:
       break;
   }
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -95,6 +95,11 @@
   /// True if there are records of a layout that this program can't read. The node must not start an
   /// election then.
   [[nodiscard]] bool earlier_layout() const { return earlier_layout_; }
+  /// Slots of the ledger log whose present values can't be decoded. What they hold is unknown, so
+  /// the node must not start an election (rule 1).
+  [[nodiscard]] const std::set<std::uint32_t>& unreadable_slots() const {
+    return unreadable_slots_;
+  }
   /// The zone delegates, by the name of the node.
   [[nodiscard]] const std::map<std::string, Delegation>& delegations() const {
     return delegations_;
@@ -144,6 +149,7 @@
   std::map<std::string, Machine> machines_;
   std::map<std::uint32_t, Slot> slots_;
   bool earlier_layout_ = false;
+  std::set<std::uint32_t> unreadable_slots_;
   std::map<std::string, Delegation> delegations_;
   std::set<std::string> unreadable_jobs_;
   RecentJobs<FinalRecord> final_states_{constants::kFinalStateCacheSize};
--- a/src/store/record_codec.cpp
+++ b/src/store/record_codec.cpp
@@ -64,8 +64,7 @@
 JobRecord decode_job(std::string_view packed) {
   const auto document = wire::Document::parse(packed);
   const auto fields = document.fields();
-  return {wire::decode_job(fields.require("spec")), fields.flag_or("cancelled", false),
-          fields.number("at")};
+  return {wire::decode_job(fields.require("spec")), fields.flag("cancelled"), fields.number("at")};
 }
 
 DelegationRecord decode_delegation(std::string_view packed) {
@@ -75,9 +74,10 @@
 FinalRecord decode_final(std::string_view packed) {
   const auto document = wire::Document::parse(packed);
   const auto fields = document.fields();
-  const bool done = fields.text("state") == wire::to_text(wire::JobState::done);
   FinalRecord record;
-  record.state = done ? wire::JobState::done : wire::JobState::cancelled;
+  record.state = wire::decode_job_state(fields, "state");
+  if (record.state != wire::JobState::done && record.state != wire::JobState::cancelled)
+    throw wire::DecodeError("a final record has a state that is not final");
   record.tasks = fields.integer_or("tasks", 0);
   return record;
 }
--- a/src/wire/jobs.cpp
+++ b/src/wire/jobs.cpp
@@ -120,6 +120,10 @@
 
 std::string_view to_text(JobState state) { return name_of(kJobStates, state); }
 
+JobState decode_job_state(const Fields& fields, std::string_view key) {
+  return parse_enum(kJobStates, fields.text(key), key);
+}
+
 std::string encode_status(const JobStatus& status, TaskCounts counts) {
   const bool with_counts = counts == TaskCounts::included;
   Packer packer;
@@ -135,8 +139,8 @@
 
 JobStatus decode_status(const Object& object) {
   const Fields fields(object);
-  return {fields.text("uid"), parse_enum(kJobStates, fields.text("status"), "status"),
-          fields.integer_or("done", 0), fields.integer_or("running", 0)};
+  return {fields.text("uid"), decode_job_state(fields, "status"), fields.integer_or("done", 0),
+          fields.integer_or("running", 0)};
 }
 
 }  // namespace elmstall::wire
--- a/src/wire/jobs.hpp
+++ b/src/wire/jobs.hpp
@@ -75,6 +75,8 @@
 };
 /// The protocol's name of the state.
 [[nodiscard]] std::string_view to_text(JobState state);
+/// Reads a field that holds the protocol's name of a state.
+[[nodiscard]] JobState decode_job_state(const Fields& fields, std::string_view key);
 /// Whether the response to a user contains the numbers of tasks.
 enum class TaskCounts : std::uint8_t {
   omitted,   ///< identifier and state only
--- a/tests/absent_values_test.cpp
+++ b/tests/absent_values_test.cpp
@@ -354,6 +354,10 @@
   return zone ? "zone '" + *zone + "'" : "any zone";
 }
 
+std::string mark_of_record(const std::string& record) {
+  return store::decode_job(record).cancelled ? "cancelled" : "not cancelled";
+}
+
 std::string types_record() {
   return store::encode(store::MachineTypesRecord{types_in(cloud_types())});
 }
@@ -368,6 +372,26 @@
   return recorded_zones(store::encode(store::decode_machine_types(record)));
 }
 
+std::string log_value() {
+  return store::encode_slot(
+      4, {store::pack(store::BlockEntry{"job-1", 0, {{false}, {{0, 1, "host-1"}}}}).bytes},
+      {store::pack(store::MachineEntry{"host-1", true, {}}).bytes});
+}
+
+std::string entries_of_log(const std::string& record) {
+  const auto slot = store::decode_slot(record);
+  return std::to_string(slot.blocks.size()) + " blocks, " + std::to_string(slot.machines.size()) +
+         " machines";
+}
+
+std::string final_record() {
+  return store::encode(store::FinalRecord{wire::JobState::cancelled, 3});
+}
+
+std::string final_state(const std::string& record) {
+  return std::string(wire::to_text(store::decode_final(record).state));
+}
+
 // --- messages between controllers, which have no null and no absent fields ---------------------
 
 /// Who is known to lead after a heartbeat of a controller that does not know it.
@@ -461,6 +485,8 @@
                "no type", types_after_rewrite),
       recorded("RecordedZone", job_record, {"spec", "yard"}, Empty::text, "any zone", "zone ''",
                zone_of_record),
+      recorded("RecordedCancelMark", job_record, {"cancelled"}, Empty::flag, kMalformed,
+               "not cancelled", mark_of_record),
       recorded("RecordedMachineTypeZones", types_record, {"builds", "yards"}, Empty::list,
                "zones not stated", "0 zones", recorded_zones),
       recorded("RecordedMachineTypeZonesRewritten", types_record, {"builds", "yards"}, Empty::list,
@@ -468,6 +494,12 @@
       // An earlier version wrote an empty list also where the cloud had stated no zones.
       recorded("MachineTypeZonesOfAnEarlierVersion", cloud_types, {"builds", "yards"}, Empty::list,
                "zones not stated", "zones not stated", recorded_zones),
+      recorded("LogBlocks", log_value, {"b"}, Empty::list, kMalformed, "0 blocks, 1 machines",
+               entries_of_log),
+      recorded("LogMachines", log_value, {"h"}, Empty::list, kMalformed, "1 blocks, 0 machines",
+               entries_of_log),
+      recorded("FinalState", final_record, {"state"}, Empty::text, kMalformed, kMalformed,
+               final_state),
 
       {"PeerLeader", leader_of_peer, kInexpressible, kInexpressible, "node-1"},
       {"PeerForwardedBody", forwarded_body, kInexpressible, kInexpressible, kMalformed},
--- a/tests/failover_test.cpp
+++ b/tests/failover_test.cpp
@@ -48,6 +48,26 @@
 
 /// Safety rules 2 and 5: a leader that the state store refuses steps down as soon as it learns of a
 /// higher term.
+/// Guards against `ran_twice`: a value of the log without its blocks may be all that says which
+/// tasks are on which machines, so nobody may lead without having read it.
+TEST(Takeover, NoNodeLeadsWhileAValueOfTheLogCantBeRead) {
+  World world(68);
+  world.submit(array(1, 2, 400));
+  world.run_until(40);
+  const auto key = store::slot_key(99);
+  const auto without_blocks = wire::Packer().map(2).key("n").integer(1).key("h").list(0).take();
+  ASSERT_EQ(world.state.commit({{}, {{key, without_blocks, 0}}}).outcome, store::Outcome::ok);
+  world.run_for(5);
+  ASSERT_NE(world.leader(), nullptr) << "the leader has read all of the log before";
+  crash_all_nodes(world, 1);
+  world.run_for(20);
+  EXPECT_EQ(world.leader(), nullptr);
+  ASSERT_EQ(world.state.commit({{}, {{key, std::nullopt, 0}}}).outcome, store::Outcome::ok);
+  world.run_for(20);
+  EXPECT_NE(world.leader(), nullptr);
+  expect_no_violations(world);
+}
+
 TEST(Takeover, LeaderWithoutStateStoreStepsDownOnHigherTerm) {
   World world(10);
   world.submit(service(1, 4));
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -155,6 +155,15 @@
   EXPECT_NE(mirror.job("job-1"), nullptr);
 }
 
+TEST(Mirror, KnowsTheValuesOfTheLogThatCantBeRead) {
+  Mirror mirror;
+  const auto unreadable = wire::Packer().map(1).key("n").integer(1).take();
+  mirror.load({{{slot_key(4), unreadable, 1}, {slot_key(5), unreadable, 2}}, false, 3});
+  EXPECT_EQ(mirror.unreadable_slots(), (std::set<std::uint32_t>{4, 5}));
+  mirror.apply({5, {{slot_key(4), slot_value(2, {}), 4}, {slot_key(5), std::nullopt, 5}}});
+  EXPECT_TRUE(mirror.unreadable_slots().empty());
+}
+
 /// A store that answers the first listing with a page that announces more and has no entry.
 class StoreWithAnEmptyPage : public test::FakeStore {
  public:
