An empty name among the zones of the settings is refused

A job for the zone "" would have been accepted where the cloud does not state its zones. Every other text of the settings must not be empty; the file, the key and the problem are named. The rows of AbsentValues for the other settings, properties and messages between controllers found nothing to change. Seen to fail before: ZoneName of AbsentValues.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -82,14 +82,14 @@
     return number_or(key, 0, kMaxAmount, 0);
   }
 
-  /// A list of texts with at least one element.
+  /// A list of texts, none of them empty, with at least one element.
   [[nodiscard]] std::vector<std::string> texts(const std::string& key) const {
     const auto* list = root_.at_path(key).as_array();
     if (list == nullptr || list->empty()) fail(key, "must be a list of texts");
     std::vector<std::string> values;
     for (const auto& item : *list) {
       const auto value = item.value<std::string>();
-      if (!value) fail(key, "must be a list of texts");
+      if (!value || value->empty()) fail(key, "must be a list of texts that are not empty");
       values.push_back(*value);
     }
     return values;
--- a/tests/absent_values_test.cpp
+++ b/tests/absent_values_test.cpp
@@ -2,8 +2,10 @@
 /// Null, absent and empty are different values. One test over all fields of messages, records and
 /// settings that may be null, absent or empty, with what the program must make of each.
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <cstdint>
+#include <fstream>
 #include <functional>
 #include <ostream>
 #include <string>
@@ -14,6 +16,7 @@
 #include "autoscaler/boot_time.hpp"
 #include "election/term_tracker.hpp"
 #include "peer/messages.hpp"
+#include "sched/resources.hpp"
 #include "store/records.hpp"
 #include "support/jobs.hpp"
 
@@ -392,6 +395,103 @@
   return std::string(wire::to_text(store::decode_final(record).state));
 }
 
+// --- settings --------------------------------------------------------------------------------
+
+constexpr std::string_view kSettings = R"(node_name = "n-0"
+area = "east"
+api_addr = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+[[known]]
+node_name = "n-1"
+area = "west"
+endpoint = "127.0.0.1:3"
+[endpoints]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[deployment]
+zones = ["east", "west"]
+skew_ms = 100.0
+[[deployment.teams]]
+name = "a"
+gpus_max = 8.0
+[[deployment.objectives]]
+kind = "finished"
+class = "x"
+within_s = 10.0
+[deployment.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 40.0
+[deployment.state]
+rps = 120.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 8
+[deployment.state.next]
+value_kb = 2.0
+[deployment.cloud]
+rps = 8.0
+list_lag_s = 3.0
+[deployment.quota]
+cores = 0.1
+memory_mb = 64.0
+fd_limit = 900
+)";
+
+/// Writes the text to a file for one call of `read`.
+template <typename Read>
+std::string with_file(const std::string& text, Read&& read) {
+  const std::string path = "/tmp/elmstall-absent-" + std::to_string(getpid()) + ".txt";
+  std::ofstream(path) << text;
+  std::string result;
+  try {
+    result = read(path);
+  } catch (const config::SettingsError&) {
+    result = "refused";
+  }
+  std::remove(path.c_str());
+  return result;
+}
+
+/// Settings with a line removed, or with another one in its place. TOML has no null.
+Field configured(const char* name, std::string line, std::string empty_line, std::string absent,
+                 std::string when_empty, std::function<std::string(const config::Settings&)> read) {
+  const auto read_settings = [=](Given given) -> std::string {
+    std::string text(kSettings);
+    text.replace(text.find(line), line.size(), given == Given::empty ? empty_line : "");
+    return with_file(text,
+                     [&](const std::string& path) { return read(config::load_settings(path)); });
+  };
+  return {name, read_settings, std::move(absent), kInexpressible, std::move(when_empty)};
+}
+
+std::string zone_of_peer(const config::Settings& settings) {
+  return settings.peers.front().zone.empty() ? "may be in any zone" : "in a zone";
+}
+
+std::string zones_configured(const config::Settings& settings) {
+  return std::to_string(settings.zones.size()) + " zones";
+}
+
+std::string limits_announced(const config::Settings& settings) {
+  if (!settings.state_next) return "no limits announced";
+  return settings.state_next->value_kb == settings.state.value_kb ? "the same limits announced"
+                                                                  : "other limits announced";
+}
+
+std::string team_limit(const config::Settings& settings) {
+  return sched::within_limit(*settings.team("a"), sched::need_of_task(1, 100, 1)) ? "no limit"
+                                                                                  : "a limit";
+}
+
+std::string property(Given given) {
+  const std::string text = given == Given::empty ? "fleet.idle.share=\n" : "";
+  return with_file(text, [](const std::string& path) -> std::string {
+    return config::load_properties(path).idle_share == config::Tuning().idle_share ? "default"
+                                                                                   : "a value";
+  });
+}
+
 // --- messages between controllers, which have no null and no absent fields ---------------------
 
 /// Who is known to lead after a heartbeat of a controller that does not know it.
@@ -501,6 +601,18 @@
       recorded("FinalState", final_record, {"state"}, Empty::text, kMalformed, kMalformed,
                final_state),
 
+      configured("PeerZone", "area = \"west\"\n", "area = \"\"\n", "may be in any zone",
+                 "may be in any zone", zone_of_peer),
+      configured("Zones", "zones = [\"east\", \"west\"]\n", "zones = []\n", "refused", "refused",
+                 zones_configured),
+      configured("ZoneName", "\"east\", ", "\"\", ", "1 zones", "refused", zones_configured),
+      configured("AnnouncedLimits", "[deployment.state.next]\nvalue_kb = 2.0\n",
+                 "[deployment.state.next]\n", "no limits announced", "the same limits announced",
+                 limits_announced),
+      configured("TeamLimit", "gpus_max = 8.0\n", "gpus_max = 0.0\n", "no limit", "no limit",
+                 team_limit),
+      {"Property", property, "default", kInexpressible, "refused"},
+
       {"PeerLeader", leader_of_peer, kInexpressible, kInexpressible, "node-1"},
       {"PeerForwardedBody", forwarded_body, kInexpressible, kInexpressible, kMalformed},
   };
