Test: machine types recorded by this version are read by the one in production

The field `form` of the record is new. A controller of the production version that starts while the cloud is down gets ready with a record that this version has written.

--- a/tests/production/upgrade_test.cpp
+++ b/tests/production/upgrade_test.cpp
@@ -152,6 +152,30 @@
   expect_no_violations(world);
 }
 
+/// Guards against a controller of the production version that never gets ready: it starts while the
+/// cloud is down, with machine types that this version has recorded.
+TEST(UpgradeStep, RecordedMachineTypesAreReadByTheEarlierVersion) {
+  World world(956, 3, std::nullopt, make_production_node);
+  world.run_until(10);
+  const std::string key(store::kTypesKey);
+  for (const std::size_t node : {0, 1}) {
+    world.upgrade(node);
+    world.crash(node, 1);
+  }
+  world.crash(2, 25);
+  ASSERT_EQ(world.state.commit({{}, {{key, std::nullopt, 0}}}).outcome, store::Outcome::ok);
+  world.run_for(20);
+  ASSERT_NE(world.leader(), nullptr);
+  const auto recorded = world.state.items().find(key);
+  ASSERT_NE(recorded, world.state.items().end());
+  ASSERT_EQ(wire::Document::parse(recorded->second.value).fields().integer("form"), 2U);
+  world.cloud.down = true;
+  world.run_for(20);
+  const auto response = world.response_of(2, {"GET", "/ready", {}}, 0.5);
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 200);
+}
+
 /// Guards against `ran_twice` as ForwardedReplies does, with a leader of the production version,
 /// which returns the numbers of forwarded heartbeats as they are.
 TEST(UpgradeStep, RepliesToAnEarlierProcessReachNoOtherWorker) {
