Task look-up, untouched blocks, zone limit and leader: one place each

No change of behaviour. Model::task serves also where task_in_memory did: a queued or recorded task is always in memory, so no look-up loads a block any more (the test of fences loads its own). Job::untouched_blocks and Job::zone_limit serve two callers each, Model::on_machines() adds up by itself, soak::Site::leader serves the memory benchmark.

--- a/src/api/job_memory_limit.cpp
+++ b/src/api/job_memory_limit.cpp
@@ -12,11 +12,11 @@
 double share_for(wire::Priority priority) {
   switch (priority) {
     case wire::Priority::idle:
-      return 0.7;
+      return k::kJobMemoryShareIdle;
     case wire::Priority::normal:
-      return 0.8;
+      return k::kJobMemoryShareNormal;
     case wire::Priority::high:
-      return 0.9;
+      return k::kJobMemoryShareHigh;
     case wire::Priority::critical:
       break;
   }
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -136,10 +136,19 @@
 /// Share of the task budget that waiting tasks may use. The rest is for running ones, and for
 /// gangs, which are loaded whole.
 inline constexpr double kWaitingTasksShare = 0.25;
+/// Share of the task budget in use above which a block that found no place is unloaded at once.
+inline constexpr double kManyTasksShare = 0.5;
 
 // --- api: memory for unfinished jobs ------------------------------------------------------------
 /// Share of the process's memory that unfinished jobs may take without their tasks.
 inline constexpr double kJobMemoryShare = 0.3;
+/// Share of that memory up to which jobs of priority `idle` are accepted. Critical jobs may use all
+/// of it.
+inline constexpr double kJobMemoryShareIdle = 0.7;
+/// The same for jobs of priority `normal`.
+inline constexpr double kJobMemoryShareNormal = 0.8;
+/// The same for jobs of priority `high`.
+inline constexpr double kJobMemoryShareHigh = 0.9;
 /// Bytes. What a leader needs for an unfinished job, without its tasks and its record.
 inline constexpr double kJobMemoryBytes = 1000;
 /// Bytes. What the record of a job takes in memory for each byte in the state store.
--- a/src/placement/direct_placement.cpp
+++ b/src/placement/direct_placement.cpp
@@ -77,7 +77,8 @@
 
 bool DirectPlacement::tasks_are_many() const {
   const auto& budget = model_.task_budget();
-  return budget.used() > budget.limit() / 2;
+  const auto many = static_cast<double>(budget.limit()) * constants::kManyTasksShare;
+  return static_cast<double>(budget.used()) > many;
 }
 
 bool DirectPlacement::place_task(state::Task& task, double now) {
--- a/src/placement/gang_candidates.cpp
+++ b/src/placement/gang_candidates.cpp
@@ -128,11 +128,9 @@
     if (!machine->terminating && state::Model::allowed_kind(job, *machine))
       slots_by_zone[machine->zone] += sched::slots_in(machine->capacity, job.need);
   }
-  const std::size_t zone_limit =
-      job.spec.spread ? sched::spread_limit(job.spec.tasks) : job.spec.tasks;
   std::size_t slots = 0;
   for (const auto& [zone, in_zone] : slots_by_zone) {
-    const auto usable = std::min(in_zone, zone_limit);
+    const auto usable = std::min(in_zone, job.zone_limit());
     slots = job.spec.together ? std::max(slots, usable) : slots + usable;
   }
   return slots >= task_count;
--- a/src/placement/gang_claims.cpp
+++ b/src/placement/gang_claims.cpp
@@ -136,7 +136,6 @@
 void GangClaims::plan_reserved_places(state::Job& job, const GangCandidates& candidates) {
   const auto tasks = load_pending_gang_tasks(model_, job, candidates.free_slots());
   const auto required_zone = job.spec.together ? job.zone_choice : std::string();
-  const auto zone_limit = job.spec.spread ? sched::spread_limit(job.spec.tasks) : job.spec.tasks;
   auto next = tasks.begin();
   for (std::size_t i = 0; i < candidates.machines.size() && next != tasks.end(); ++i) {
     auto& machine = *candidates.machines[i];
@@ -144,7 +143,8 @@
     const auto slots = candidates.descriptions[i].free_slots;
     for (std::size_t taken = 0; taken < slots && next != tasks.end(); ++taken) {
       const auto in_zone = job.per_zone.find(machine.zone);
-      const bool zone_is_full = in_zone != job.per_zone.end() && in_zone->second >= zone_limit;
+      const bool zone_is_full =
+          in_zone != job.per_zone.end() && in_zone->second >= job.zone_limit();
       if (zone_is_full || !state::Model::within_quota(job)) break;
       model_.plan(**next++, machine);
     }
--- a/src/placement/gang_tasks.cpp
+++ b/src/placement/gang_tasks.cpp
@@ -22,10 +22,9 @@
   return tasks;
 }
 
-bool gang_in_memory(const state::Job& job) { return job.blocks.size() == job.block_count; }
-
 bool load_gang(state::Model& model, state::Job& job) {
-  if (gang_in_memory(job)) return true;
+  const bool in_memory = job.blocks.size() == job.block_count;
+  if (in_memory) return true;
   if (!model.may_load_job(job)) {
     spdlog::debug("gang {}: {} tasks are too many to be kept in memory now", job.id,
                   job.spec.tasks);
@@ -55,11 +54,7 @@
 }
 
 void unload_gang(state::Model& model, state::Job& job) {
-  std::vector<std::uint32_t> untouched;
-  for (const auto& [number, block] : job.blocks) {
-    if (block->untouched()) untouched.push_back(number);
-  }
-  for (const auto number : untouched) model.unload_block(job, number);
+  for (const auto number : job.untouched_blocks()) model.unload_block(job, number);
 }
 
 void unplan_tasks(state::Model& model, const std::vector<state::Task*>& tasks) {
--- a/src/placement/gang_tasks.hpp
+++ b/src/placement/gang_tasks.hpp
@@ -17,8 +17,6 @@
 /// The gang's tasks whose blocks are in memory, by block and index. While the gang waits these need
 /// not be all: blocks that were never used are loaded when there are places for their tasks.
 [[nodiscard]] std::vector<state::Task*> gang_tasks_in_memory(const state::Job& job);
-/// Whether all blocks of the gang are in memory.
-[[nodiscard]] bool gang_in_memory(const state::Job& job);
 /// Loads all blocks of the gang into memory. False if the task budget does not permit it; nothing
 /// is loaded then.
 [[nodiscard]] bool load_gang(state::Model& model, state::Job& job);
--- a/src/placement/job_queues.cpp
+++ b/src/placement/job_queues.cpp
@@ -104,13 +104,12 @@
 
 void JobQueues::unload_blocks(state::Job& job) {
   std::size_t waiting = 0;
-  std::vector<std::uint32_t> untouched;
   for (const auto& [number, block] : job.blocks) {
     waiting += static_cast<std::size_t>(
         std::count_if(block->tasks.begin(), block->tasks.end(),
                       [](const state::Task& task) { return task.is_pending(); }));
-    if (block->untouched()) untouched.push_back(number);
   }
+  auto untouched = job.untouched_blocks();
   while (!untouched.empty()) {
     auto& block = *job.blocks.at(untouched.back());
     // A block that the window has room for would be loaded again at once.
--- a/src/placement/task_windows.cpp
+++ b/src/placement/task_windows.cpp
@@ -60,11 +60,7 @@
 
 std::size_t TaskWindows::capacity(std::size_t block_tasks) const {
   const auto limit = model_.task_budget().limit();
-  std::size_t running = 0;
-  for (const auto priority : {wire::Priority::idle, wire::Priority::normal, wire::Priority::high,
-                              wire::Priority::critical})
-    running += model_.on_machines(priority);
-  const auto left = limit - std::min(limit, cost(running, block_tasks));
+  const auto left = limit - std::min(limit, cost(model_.on_machines(), block_tasks));
   const auto most = static_cast<double>(limit) * constants::kWaitingTasksShare;
   return std::min(left, static_cast<std::size_t>(most));
 }
--- a/src/reconcile/heartbeat_reader.cpp
+++ b/src/reconcile/heartbeat_reader.cpp
@@ -77,7 +77,7 @@
 void HeartbeatReader::read_task(state::Machine& machine, const wire::TaskStatus& status,
                                 double now) {
   auto* job = context_.model.job(status.job);
-  auto* task = job == nullptr ? nullptr : context_.model.task_in_memory(*job, status.index);
+  auto* task = job == nullptr ? nullptr : context_.model.task(*job, status.index);
   const bool recorded = task != nullptr && task->may_be_on_machine() &&
                         task->machine() == &machine && task->attempt() == status.attempt;
   if (!recorded) return read_unrecorded_task(machine, job, status, now);
--- a/src/state/job.cpp
+++ b/src/state/job.cpp
@@ -10,4 +10,12 @@
          std::all_of(tasks.begin(), tasks.end(), [](const Task& task) { return task.untouched(); });
 }
 
+std::vector<std::uint32_t> Job::untouched_blocks() const {
+  std::vector<std::uint32_t> untouched;
+  for (const auto& [number, block] : blocks) {
+    if (block->untouched()) untouched.push_back(number);
+  }
+  return untouched;
+}
+
 }  // namespace elmstall::state
--- a/src/state/job.hpp
+++ b/src/state/job.hpp
@@ -92,6 +92,12 @@
   [[nodiscard]] bool is_gang() const { return spec.kind == wire::JobKind::gang; }
   /// Whether all tasks of the job are completed.
   [[nodiscard]] bool all_done() const { return finished_tasks == spec.tasks; }
+  /// Numbers of the blocks in memory that are untouched, in their order.
+  [[nodiscard]] std::vector<std::uint32_t> untouched_blocks() const;
+  /// The most tasks of the job that may be in one zone.
+  [[nodiscard]] std::size_t zone_limit() const {
+    return spec.spread ? sched::spread_limit(spec.tasks) : spec.tasks;
+  }
   /// Number of tasks that are neither completed nor planned or assigned, in memory or not.
   [[nodiscard]] std::uint32_t waiting_tasks() const {
     return spec.tasks - finished_tasks - on_machines;
--- a/src/state/model.cpp
+++ b/src/state/model.cpp
@@ -81,14 +81,7 @@
                           : task(*owner, static_cast<std::uint32_t>(id & ((1U << kIndexBits) - 1)));
 }
 
-Task* Model::task(Job& job, std::uint32_t index) {
-  if (index >= job.spec.tasks) return nullptr;
-  const auto size = store::block_size(settings_.state.value_kb);
-  auto& block = load_block(job, index / size, nullptr);
-  return block.all_done() ? nullptr : &block.tasks[index - block.first];
-}
-
-Task* Model::task_in_memory(Job& job, std::uint32_t index) const {
+Task* Model::task(Job& job, std::uint32_t index) const {
   const auto size = store::block_size(settings_.state.value_kb);
   const auto found = job.blocks.find(index / size);
   if (index >= job.spec.tasks || found == job.blocks.end()) return nullptr;
--- a/src/state/model.hpp
+++ b/src/state/model.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <optional>
 #include <set>
 #include <string>
@@ -49,15 +50,13 @@
   [[nodiscard]] Job* job_by_serial(std::uint64_t serial);
   /// The settings of the platform.
   [[nodiscard]] const config::Settings& settings() const { return settings_; }
-  /// The task with this Task::id. Null if its job has been removed, or if all tasks of its block
-  /// are completed. Loads the block if necessary.
+  /// The task with this Task::id. Null if its job has been removed, if all tasks of its block are
+  /// completed, or if its block is not in memory. A queued task always is.
   [[nodiscard]] Task* task(sched::TaskId id);
-  /// The task with this index in the job. Null if the job has no such task, or if all tasks of its
-  /// block are completed. Loads the block if necessary.
-  [[nodiscard]] Task* task(Job& job, std::uint32_t index);
-  /// The same, but null also if the block is not in memory. A task that is recorded on a machine
+  /// The task with this index in the job. Null if the job has no such task, if all tasks of its
+  /// block are completed, or if the block is not in memory. A task that is recorded on a machine
   /// always is.
-  [[nodiscard]] Task* task_in_memory(Job& job, std::uint32_t index) const;
+  [[nodiscard]] Task* task(Job& job, std::uint32_t index) const;
   /// Returns the block with this number of the job, and loads it if it is not in memory
   /// yet. `stored` is the block as the mirror has it, or null if the block was never recorded. Done
   /// bits and attempt numbers are taken from it; assignments are taken over by restore(). Does not
@@ -176,7 +175,11 @@
   /// Computes both least needs anew from the jobs that are not cancelled. Between these calls they
   /// only fall, as jobs are added.
   void refresh_least_need();
-  /// Number of tasks of this priority that are planned for a machine or may be on one.
+  /// Number of tasks that are planned for a machine or may be on one.
+  [[nodiscard]] std::size_t on_machines() const {
+    return std::accumulate(on_machines_.begin(), on_machines_.end(), std::size_t{0});
+  }
+  /// The same, only of tasks of this priority.
   [[nodiscard]] std::size_t on_machines(wire::Priority priority) const {
     return on_machines_[static_cast<std::size_t>(priority)];
   }
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -75,7 +75,7 @@
     job.gang.state = state::Gang::State::starting;
     job.gang.attempt = 1;
     job.gang.committed = true;
-    return *model_.task(job, 0);
+    return model_.load_block(job, 0, nullptr).tasks.front();
   }
   /// The task is assigned under this attempt, and the assignment is written.
   void assign(state::Task& task, std::uint64_t attempt) {
--- a/tests/memory/run.cpp
+++ b/tests/memory/run.cpp
@@ -55,7 +55,7 @@
   site_.start_controllers();
   if (!run_until_ready() || !run_for(options_.settle_s)) return result_;
   result_.first_small_job_s = run_small_job(kFirstSmallJob);
-  const auto first = leader();
+  const auto first = site_.leader();
   if (!first) {
     result_.failure = "no controller leads";
     return result_;
@@ -65,7 +65,7 @@
   controllers[*first]->kill();
   if (!run_for(kWarmUp + options_.settle_s)) return result_;
   result_.second_small_job_s = run_small_job(kFirstSmallJob + 1);
-  const auto second = leader();
+  const auto second = site_.leader();
   for (std::size_t node = 0; node < controllers.size(); ++node) {
     if (!controllers[node]->running()) continue;
     auto& memory_mb = node == second ? result_.second_leader_mb : result_.follower_mb;
@@ -86,7 +86,7 @@
 
 bool Run::run_until_ready() {
   const double begin = now();
-  while (!leader()) {
+  while (!site_.leader()) {
     if (now() > begin + kReadyLimit) {
       result_.failure = "no controller leads after " + std::to_string(kReadyLimit) + " s";
       return false;
@@ -109,13 +109,6 @@
   return std::nullopt;
 }
 
-std::optional<std::size_t> Run::leader() {
-  const auto& items = site_.world().state.items();
-  const auto found = items.find(std::string(store::kLeadKey));
-  if (found == items.end()) return std::nullopt;
-  return test::node_index(store::decode_lead(found->second.value).node);
-}
-
 void Run::check_controllers() {
   for (auto& controller : site_.controllers()) {
     if (const auto end = controller->unexpected_exit())
--- a/tests/memory/run.hpp
+++ b/tests/memory/run.hpp
@@ -48,7 +48,6 @@
   bool run_until_ready();
   /// Submits a small job and waits until it is done.
   std::optional<double> run_small_job(int number);
-  [[nodiscard]] std::optional<std::size_t> leader();
   void check_controllers();
   [[nodiscard]] double now() { return site_.world().loop.now(); }
 
--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -194,10 +194,10 @@
   world_.loop.after(seconds, std::move(undo));
 }
 
-std::size_t Site::leader() const {
+std::optional<std::size_t> Site::leader() const {
   const auto& items = world_.state.items();
   const auto found = items.find(std::string(store::kLeadKey));
-  if (found == items.end()) return 0;
+  if (found == items.end()) return std::nullopt;
   return test::node_index(store::decode_lead(found->second.value).node);
 }
 
@@ -219,7 +219,8 @@
       return run_after(fault.duration_s,
                        [this, node = fault.node] { controllers_[node]->resume(); });
     case FaultKind::leader_series:
-      for (const double delay : {0.0, 2.0, 4.0}) run_after(delay, [this] { kill(leader(), 0.5); });
+      for (const double delay : {0.0, 2.0, 4.0})
+        run_after(delay, [this] { kill(leader().value_or(0), 0.5); });
       return;
     case FaultKind::cut_peer:
     case FaultKind::cut_to_peer:
--- a/tests/soak/site.hpp
+++ b/tests/soak/site.hpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
   void begin_fault(const PlannedFault& fault);
   /// Ends all faults, and starts controllers that are down.
   void end_all_faults();
+  /// The controller that the state store shows as the leader, if there is one.
+  [[nodiscard]] std::optional<std::size_t> leader() const;
   [[nodiscard]] test::World& world() { return world_; }
   [[nodiscard]] std::vector<std::unique_ptr<ControllerChild>>& controllers() {
     return controllers_;
@@ -58,8 +61,6 @@
   [[nodiscard]] std::filesystem::path write_settings(std::size_t node,
                                                      const std::filesystem::path& folder) const;
   void deliver(std::size_t node, const net::Request& request, const net::Responder& respond);
-  /// The controller that the state store shows as the leader.
-  [[nodiscard]] std::size_t leader() const;
   void kill(std::size_t node, double back_after_s);
   void begin_on_links(const PlannedFault& fault);
   void begin_on_state(const PlannedFault& fault);
