--- a/tests/absent_values_test.cpp
+++ b/tests/absent_values_test.cpp
@@ -19,6 +19,7 @@
 #include "sched/resources.hpp"
 #include "store/records.hpp"
 #include "support/jobs.hpp"
+#include "support/settings_file.hpp"
 
 namespace elmstall::test {
 namespace {
@@ -397,47 +398,6 @@
 
 // --- settings --------------------------------------------------------------------------------
 
-constexpr std::string_view kSettings = R"(node_name = "n-0"
-area = "east"
-api_addr = "127.0.0.1:1"
-mesh_addr = "127.0.0.1:2"
-[[known]]
-node_name = "n-1"
-area = "west"
-endpoint = "127.0.0.1:3"
-[endpoints]
-cloud = "127.0.0.1:4"
-state = "127.0.0.1:5"
-[deployment]
-zones = ["east", "west"]
-skew_ms = 100.0
-[[deployment.teams]]
-name = "a"
-gpus_max = 8.0
-[[deployment.objectives]]
-kind = "finished"
-class = "x"
-within_s = 10.0
-[deployment.workers]
-report_s = 1.5
-lease_s = 10.0
-cancel_s = 40.0
-[deployment.state]
-rps = 120.0
-write_rps = 25.0
-value_kb = 4.0
-txn_ops = 8
-[deployment.state.next]
-value_kb = 2.0
-[deployment.cloud]
-rps = 8.0
-list_lag_s = 3.0
-[deployment.quota]
-cores = 0.1
-memory_mb = 64.0
-fd_limit = 900
-)";
-
 /// Writes the text to a file for one call of `read`.
 template <typename Read>
 std::string with_file(const std::string& text, Read&& read) {
@@ -453,12 +413,14 @@
   return result;
 }
 
-/// Settings with a line removed, or with another one in its place. TOML has no null.
-Field configured(const char* name, std::string line, std::string empty_line, std::string absent,
-                 std::string when_empty, std::function<std::string(const config::Settings&)> read) {
+/// Settings with a line in place of another one: `absent_line` if the value is absent, `empty_line`
+/// if it is empty. TOML has no null.
+Field configured(const char* name, std::string line, std::string absent_line,
+                 std::string empty_line, std::string absent, std::string when_empty,
+                 std::function<std::string(const config::Settings&)> read) {
   const auto read_settings = [=](Given given) -> std::string {
-    std::string text(kSettings);
-    text.replace(text.find(line), line.size(), given == Given::empty ? empty_line : "");
+    std::string text(kValidSettings);
+    text.replace(text.find(line), line.size(), given == Given::empty ? empty_line : absent_line);
     return with_file(text,
                      [&](const std::string& path) { return read(config::load_settings(path)); });
   };
@@ -601,15 +563,15 @@
       recorded("FinalState", final_record, {"state"}, Empty::text, kMalformed, kMalformed,
                final_state),
 
-      configured("PeerZone", "area = \"west\"\n", "area = \"\"\n", "may be in any zone",
+      configured("PeerZone", "area = \"west\"\n", "", "area = \"\"\n", "may be in any zone",
                  "may be in any zone", zone_of_peer),
-      configured("Zones", "zones = [\"east\", \"west\"]\n", "zones = []\n", "refused", "refused",
-                 zones_configured),
-      configured("ZoneName", "\"east\", ", "\"\", ", "1 zones", "refused", zones_configured),
-      configured("AnnouncedLimits", "[deployment.state.next]\nvalue_kb = 2.0\n",
-                 "[deployment.state.next]\n", "no limits announced", "the same limits announced",
-                 limits_announced),
-      configured("TeamLimit", "gpus_max = 8.0\n", "gpus_max = 0.0\n", "no limit", "no limit",
+      configured("Zones", "zones = [\"east\", \"west\"]\n", "", "zones = []\n", "refused",
+                 "refused", zones_configured),
+      configured("ZoneName", "\"east\", ", "", "\"\", ", "1 zones", "refused", zones_configured),
+      configured("AnnouncedLimits", "txn_ops = 8\n", "txn_ops = 8\n",
+                 "txn_ops = 8\n[deployment.state.next]\n", "no limits announced",
+                 "the same limits announced", limits_announced),
+      configured("TeamLimit", "gpus_max = 8.0\n", "", "gpus_max = 0.0\n", "no limit", "no limit",
                  team_limit),
       {"Property", property, "default", kInexpressible, "refused"},
 
