A zone without a name is refused in the cloud's lists too

An empty zone would have been one for jobs whose zone is "". Found by reading, not seen to happen. One function reads `yards` and the machines of a rental. Codec.RejectsEmptyNamesInListsOfTheCloud was not run without the change.

--- a/src/wire/cloud.cpp
+++ b/src/wire/cloud.cpp
@@ -24,11 +24,18 @@
     {"ready_s", &MachineType::ready_s, Presence::optional},
 }};
 
+/// Reads a list of names. Throws DecodeError if one of them is empty or too long.
+std::vector<std::string> decode_names(const Object& list, std::string_view field) {
+  auto names = texts(&list, field);
+  for (const auto& name : names) check_name(name, field);
+  return names;
+}
+
 /// The zones in which a machine type is offered, as far as the cloud states them.
 std::optional<std::vector<std::string>> decode_zones(const Fields& fields) {
   const auto* zones = fields.find("yards");
   if (zones == nullptr) return std::nullopt;
-  return texts(zones, "yards");
+  return decode_names(*zones, "yards");
 }
 
 MachineType decode_machine_type(const Object& object) {
@@ -113,9 +120,7 @@
 }
 
 std::vector<std::string> decode_machine_ids(const Object& object) {
-  auto machines = texts(&Fields(object).require("hosts"), "hosts");
-  for (const auto& machine : machines) check_name(machine, "hosts");
-  return machines;
+  return decode_names(Fields(object).require("hosts"), "hosts");
 }
 
 }  // namespace elmstall::wire
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -132,6 +132,17 @@
   EXPECT_GT(refused, 10'000U);
 }
 
+/// Guards against a zone or a machine without a name, which would be taken for "none" elsewhere.
+TEST(Codec, RejectsEmptyNamesInListsOfTheCloud) {
+  EXPECT_THROW((void)decode_machine_ids(Document::parse(encode_machine_ids({""})).root()),
+               DecodeError);
+  MachineType type;
+  type.name = "m12";
+  type.zones = {"north", ""};
+  EXPECT_THROW((void)decode_machine_types(Document::parse(encode_machine_types({type})).root()),
+               DecodeError);
+}
+
 TEST(Codec, HeartbeatsWithUnknownTaskStatesAreDecoded) {
   // A task state that a later version of the platform adds must not make the whole heartbeat
   // invalid: the worker's lease expires if its heartbeats are not answered.
