AbsentValues: rows for fields whose absence means the same as 0

Tokens, saved progress, ages, GPUs, fetch rates, counts of final records, objectives and the wait of gangs were read right before: where absent and 0 mean the same the row says so.

--- a/tests/absent_values_test.cpp
+++ b/tests/absent_values_test.cpp
@@ -16,6 +16,7 @@
 #include "autoscaler/boot_time.hpp"
 #include "election/term_tracker.hpp"
 #include "peer/messages.hpp"
+#include "placement/queue_position.hpp"
 #include "sched/resources.hpp"
 #include "store/records.hpp"
 #include "support/jobs.hpp"
@@ -28,7 +29,7 @@
 enum class Given : std::uint8_t { absent, null, empty };
 
 /// The empty value of a field's type.
-enum class Empty : std::uint8_t { text, list, number, flag, map };
+enum class Empty : std::uint8_t { text, list, number, count, flag, map };
 
 /// Names of nested fields. Lists are stepped into: all their elements are changed.
 using Path = std::vector<std::string_view>;
@@ -48,6 +49,9 @@
     case Empty::number:
       packer.number(0);
       break;
+    case Empty::count:
+      packer.integer(0);
+      break;
     case Empty::flag:
       packer.flag(false);
       break;
@@ -184,6 +188,14 @@
   return boot_s == constants::kBootTimeDefault ? "usual boot time" : "another boot time";
 }
 
+std::string gpus(const std::vector<wire::MachineType>& types) {
+  return types.front().gpus == 0 ? "no GPUs" : "GPUs";
+}
+
+std::string fetch_rate(const std::vector<wire::MachineType>& types) {
+  return types.front().fetch_gb_per_s == 0 ? "rate not stated" : "a rate";
+}
+
 std::string machine_list() {
   wire::Packer packer;
   packer.map(2).key("truncated").flag(true).key("hosts").list(1).map(7);
@@ -219,6 +231,10 @@
   return page.machines.front().addr.empty() ? "no address known" : "an address";
 }
 
+std::string age_of_listed(const wire::CloudPage& page) {
+  return page.machines.front().age_s == 0 ? "age not stated" : "an age";
+}
+
 std::string provisioned(const std::string& response) {
   const auto machines = wire::decode_machine_ids(wire::Document::parse(response).root());
   return std::to_string(machines.size()) + " machines";
@@ -260,6 +276,14 @@
   return heartbeat.addr.empty() ? "no address known" : "an address";
 }
 
+std::string token(const wire::WorkerHeartbeat& heartbeat) {
+  return heartbeat.token == 0 ? "no token seen" : "a token";
+}
+
+std::string progress(const wire::WorkerHeartbeat& heartbeat) {
+  return heartbeat.tasks.front().saved ? "saved" : "not saved";
+}
+
 std::string cause(const wire::WorkerHeartbeat& heartbeat) {
   return heartbeat.tasks.front().cause == wire::EndCause::other ? "unknown cause" : "a cause";
 }
@@ -396,6 +420,10 @@
   return std::string(wire::to_text(store::decode_final(record).state));
 }
 
+std::string final_tasks(const std::string& record) {
+  return store::decode_final(record).tasks == 0 ? "count not known" : "a count";
+}
+
 // --- settings --------------------------------------------------------------------------------
 
 /// Writes the text to a file for one call of `read`.
@@ -446,6 +474,16 @@
                                                                                   : "a limit";
 }
 
+std::string objective(const config::Settings& settings) {
+  state::Job job;
+  job.spec.job_class = "x";
+  return placement::completion_objective_s(settings, job) ? "an objective" : "no objective";
+}
+
+std::string gang_wait(const config::Settings& settings) {
+  return settings.gang_wait_s == constants::kGangWaitDefault ? "usual wait" : "another wait";
+}
+
 std::string property(Given given) {
   const std::string text = given == Given::empty ? "fleet.idle.share=\n" : "";
   return with_file(text, [](const std::string& path) -> std::string {
@@ -501,6 +539,9 @@
       offered("MachineTypeName", "name", Empty::text, kMalformed, kMalformed, submitted_to),
       offered("MachineTypeBootTime", "ready_s", Empty::number, "usual boot time", "usual boot time",
               booting),
+      offered("MachineTypeGpus", "cards", Empty::number, "no GPUs", "no GPUs", gpus),
+      offered("MachineTypeFetchRate", "fetch_gb_per_s", Empty::number, "rate not stated",
+              "rate not stated", fetch_rate),
       listed("ListedMachines", {"hosts"}, Empty::list, kMalformed, "0 machines", machines_in_list),
       listed("ListEnd", {"truncated"}, Empty::flag, kMalformed, "last page", end_of_list),
       listed("ListedId", {"hosts", "uid"}, Empty::text, kMalformed, kMalformed),
@@ -510,6 +551,8 @@
              kind_of_listed),
       listed("ListedAddress", {"hosts", "addr"}, Empty::text, "no address known",
              "no address known", address_of_listed),
+      listed("ListedAge", {"hosts", "held_s"}, Empty::number, "age not stated", "age not stated",
+             age_of_listed),
       {"ProvisionedMachines",
        in_message([] { return wire::encode_machine_ids({"host-1"}); }, {"hosts"}, Empty::list,
                   provisioned),
@@ -523,6 +566,9 @@
       reported("HeartbeatNotice", {"recall_s"}, Empty::number, "no notice", "taken in 0 s", notice),
       reported("HeartbeatAddress", {"addr"}, Empty::text, "no address known", "no address known",
                address_reported),
+      reported("HeartbeatToken", {"baton"}, Empty::count, "no token seen", "no token seen", token),
+      reported("HeartbeatProgress", {"shards", "kept"}, Empty::flag, "not saved", "not saved",
+               progress),
       reported("HeartbeatCause", {"shards", "cause"}, Empty::text, "unknown cause", "unknown cause",
                cause),
 
@@ -562,6 +608,8 @@
                entries_of_log),
       recorded("FinalState", final_record, {"state"}, Empty::text, kMalformed, kMalformed,
                final_state),
+      recorded("FinalTasks", final_record, {"tasks"}, Empty::count, "count not known",
+               "count not known", final_tasks),
 
       configured("PeerZone", "area = \"west\"\n", "", "area = \"\"\n", "may be in any zone",
                  "may be in any zone", zone_of_peer),
@@ -573,6 +621,12 @@
                  "the same limits announced", limits_announced),
       configured("TeamLimit", "gpus_max = 8.0\n", "", "gpus_max = 0.0\n", "no limit", "no limit",
                  team_limit),
+      configured("Objective", "kind = \"wait\"\nclass = \"x\"\nwithin_s = 10.0\n",
+                 "kind = \"finished\"\nclass = \"x\"\n",
+                 "kind = \"finished\"\nclass = \"x\"\nwithin_s = 0.0\n", "no objective",
+                 "no objective", objective),
+      configured("GangWait", "cancel_s = 40.0\n", "cancel_s = 40.0\n",
+                 "cancel_s = 40.0\ngang_wait_s = 0.0\n", "usual wait", "refused", gang_wait),
       {"Property", property, "default", kInexpressible, "refused"},
 
       {"PeerLeader", leader_of_peer, kInexpressible, kInexpressible, "node-1"},
